--- /dev/null
+++ b/core/board/entry.go
@@ -0,0 +1,111 @@
+package board
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/limit"
+	"carawaycart/core/member"
+	"carawaycart/internal/rendezvous"
+)
+
+// Entry is what the instance knows about one endpoint; it is safe for
+// concurrent use.
+type Entry struct {
+	ID  carawaycart.EndpointID
+	key rendezvous.Key
+
+	endpoint atomic.Pointer[carawaycart.Endpoint]
+	guarded  atomic.Bool
+	holders  atomic.Pointer[rankedHolders]
+	gate     atomic.Pointer[limit.Gate]
+	since    atomic.Int64 // Unix nanoseconds when the gate was opened
+
+	mu     sync.Mutex
+	status carawaycart.EndpointStatus
+}
+
+// rankedHolders caches the holders of an endpoint in one view.
+type rankedHolders struct {
+	view    *member.View
+	holders member.Holders
+}
+
+func newEntry(id carawaycart.EndpointID) *Entry {
+	e := &Entry{ID: id, key: rendezvous.NewKey(string(id))}
+	e.status.Endpoint = id
+	return e
+}
+
+// Endpoint returns the configured endpoint, or nil if it was never configured.
+func (e *Entry) Endpoint() *carawaycart.Endpoint { return e.endpoint.Load() }
+
+// Guarded reports whether packets of the endpoint's slots pass through its keeper.
+func (e *Entry) Guarded() bool { return e.guarded.Load() }
+
+// Holders returns the holders of the endpoint's state in view v; the result
+// must not be modified.
+func (e *Entry) Holders(v *member.View) *member.Holders {
+	if c := e.holders.Load(); c != nil && c.view == v {
+		return &c.holders
+	}
+	c := &rankedHolders{view: v, holders: v.Holders(e.key)}
+	e.holders.Store(c)
+	return &c.holders
+}
+
+// Gate returns the gate of the endpoint, or nil unless the instance is its keeper.
+func (e *Entry) Gate() *limit.Gate { return e.gate.Load() }
+
+// OpenGate makes the instance act as keeper from now on with gate g.
+func (e *Entry) OpenGate(g *limit.Gate, now time.Time) {
+	e.since.Store(now.UnixNano())
+	e.gate.Store(g)
+}
+
+// CloseGate ends the instance's duty as keeper.
+func (e *Entry) CloseGate() { e.gate.Store(nil) }
+
+// KeptSince returns when the instance became keeper.
+func (e *Entry) KeptSince() time.Time { return time.Unix(0, e.since.Load()) }
+
+// Status returns the latest status of the endpoint.
+func (e *Entry) Status() carawaycart.EndpointStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.status
+}
+
+// MergeStatus takes in a status and reports whether it is newer than the one
+// held; of two with one version the greater keeper name wins.
+func (e *Entry) MergeStatus(s carawaycart.EndpointStatus) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.Version < e.status.Version || s.Version == e.status.Version && s.Keeper <= e.status.Keeper {
+		return false
+	}
+	e.status = s
+	e.guarded.Store(s.Guarded)
+	return true
+}
+
+// State makes a new status under the next version and returns it, or reports
+// false if state and guard are as they were under the same keeper.
+func (e *Entry) State(keeper carawaycart.InstanceID, state carawaycart.EndpointState, guarded bool) (carawaycart.EndpointStatus, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := carawaycart.EndpointStatus{
+		Endpoint: e.ID, Keeper: keeper, Version: e.status.Version + 1, State: state, Guarded: guarded,
+	}
+	if e.status.Version > 0 && e.status.Keeper == keeper && e.status.State == state && e.status.Guarded == guarded {
+		return e.status, false
+	}
+	e.status = s
+	e.guarded.Store(guarded)
+	return s, true
+}
+
+// Score returns the endpoint's rendezvous score for key k.
+func (e *Entry) Score(k rendezvous.Key) uint64 { return rendezvous.Score(rendezvous.Name(e.key), k) }
--- /dev/null
+++ b/core/config/config.go
@@ -0,0 +1,348 @@
+package config
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+	"carawaycart/core/slot"
+)
+
+// Configuration is everything that operators have decided, at one revision.
+type Configuration struct {
+	Revision  carawaycart.Revision                               `json:"revision"`
+	LastID    carawaycart.ChangeID                               `json:"lastChangeId"`
+	Profiles  map[carawaycart.ProfileName]carawaycart.Profile    `json:"profiles"`
+	Services  map[carawaycart.ServiceID]carawaycart.Service      `json:"services"`
+	Endpoints map[carawaycart.EndpointID]carawaycart.Endpoint    `json:"endpoints"`
+	Zones     map[carawaycart.ZoneID]carawaycart.Zone            `json:"zones"`
+	Slots     map[carawaycart.ServiceID]carawaycart.SlotTable    `json:"slots"`
+	members   map[carawaycart.ServiceID][]carawaycart.EndpointID // endpoints of each service, sorted
+}
+
+// Settlement is the After value of a change of kind settle.
+type Settlement struct {
+	Base    carawaycart.EndpointID  `json:"base"`
+	Current carawaycart.EndpointID  `json:"current"`
+	Slots   []carawaycart.SlotIndex `json:"slots"`
+}
+
+// New returns the configuration at revision zero, which holds the built-in
+// profiles.
+func New() *Configuration {
+	c := &Configuration{
+		Profiles:  make(map[carawaycart.ProfileName]carawaycart.Profile),
+		Services:  make(map[carawaycart.ServiceID]carawaycart.Service),
+		Endpoints: make(map[carawaycart.EndpointID]carawaycart.Endpoint),
+		Zones:     make(map[carawaycart.ZoneID]carawaycart.Zone),
+		Slots:     make(map[carawaycart.ServiceID]carawaycart.SlotTable),
+		members:   make(map[carawaycart.ServiceID][]carawaycart.EndpointID),
+	}
+	for _, p := range BuiltIn() {
+		c.Profiles[p.Name] = p
+	}
+	return c
+}
+
+// BuiltIn returns the profiles that every configuration begins with.
+func BuiltIn() []carawaycart.Profile {
+	return []carawaycart.Profile{
+		{
+			Name: "gentle", ColdFlows: 20, ColdRequests: 1, WarmupSeconds: 60, DrainSeconds: 4 * 3600,
+			FlowIdleSeconds: 300, RequestSeconds: 30, QueueSeconds: 5, RetryPercent: 10, SpillPercent: 10,
+			AnswerSeconds: 3600,
+		},
+		{
+			Name: "swift", ColdFlows: 100, ColdRequests: 1, WarmupSeconds: 10, DrainSeconds: 300,
+			FlowIdleSeconds: 60, RequestSeconds: 10, QueueSeconds: 1, RetryPercent: 20, SpillPercent: 25,
+			AnswerSeconds: 600,
+		},
+	}
+}
+
+// Decode returns the configuration encoded in data by Encode.
+func Decode(data []byte) (*Configuration, error) {
+	c := New()
+	if err := DecodeStrict(data, c); err != nil {
+		return nil, errors.Annotate(err, "snapshot")
+	}
+	for id := range c.Services {
+		if _, ok := c.Slots[id]; !ok {
+			return nil, errors.NotValidf("snapshot: service %s without slots", id)
+		}
+	}
+	for id, e := range c.Endpoints {
+		c.members[e.Service] = append(c.members[e.Service], id)
+	}
+	for _, m := range c.members {
+		slices.Sort(m)
+	}
+	return c, nil
+}
+
+// Encode returns c as JSON.
+func (c *Configuration) Encode() ([]byte, error) {
+	data, err := json.Marshal(c)
+	return data, errors.Annotate(err, "encode snapshot")
+}
+
+// ServiceEndpoints returns the identifiers of the endpoints of service id in
+// order; the slice must not be modified.
+func (c *Configuration) ServiceEndpoints(id carawaycart.ServiceID) []carawaycart.EndpointID {
+	return c.members[id]
+}
+
+// Accepting reports whether endpoint id may get new work by its mark and zone.
+func (c *Configuration) Accepting(id carawaycart.EndpointID) bool {
+	e, ok := c.Endpoints[id]
+	return ok && e.Mark == carawaycart.MarkNone && !c.Zones[e.Zone].Out
+}
+
+// Holding reports whether endpoint id may still own flows.
+func (c *Configuration) Holding(id carawaycart.EndpointID) bool {
+	e, ok := c.Endpoints[id]
+	return ok && e.Mark != carawaycart.MarkEnded && !c.Zones[e.Zone].Out
+}
+
+// Current returns the encoded object that a change of kind and name would
+// replace, or nil if there is none.
+func (c *Configuration) Current(kind carawaycart.ObjectKind, name string) (json.RawMessage, error) {
+	var v any
+	var ok bool
+	switch kind {
+	case carawaycart.KindProfile:
+		v, ok = lookup(c.Profiles, carawaycart.ProfileName(name))
+	case carawaycart.KindService:
+		v, ok = lookup(c.Services, carawaycart.ServiceID(name))
+	case carawaycart.KindEndpoint:
+		v, ok = lookup(c.Endpoints, carawaycart.EndpointID(name))
+	case carawaycart.KindZone:
+		v, ok = lookup(c.Zones, carawaycart.ZoneID(name))
+	case carawaycart.KindSettle:
+	default:
+		return nil, errors.NotValidf("object kind %q", kind)
+	}
+	if !ok {
+		return nil, nil
+	}
+	return json.Marshal(v)
+}
+
+func lookup[K comparable, V any](m map[K]V, k K) (any, bool) {
+	v, ok := m[k]
+	return v, ok
+}
+
+// Apply returns the configuration that follows c by change. The error is
+// NotValid if change does not follow c's revision or breaks a rule.
+func (c *Configuration) Apply(change carawaycart.Change) (*Configuration, error) {
+	if change.Revision != c.Revision+1 {
+		return nil, errors.NotValidf("revision %d after %d", change.Revision, c.Revision)
+	}
+	n := *c
+	var err error
+	switch change.Kind {
+	case carawaycart.KindProfile:
+		err = n.applyProfile(change)
+	case carawaycart.KindService:
+		err = n.applyService(change)
+	case carawaycart.KindEndpoint:
+		err = n.applyEndpoint(change)
+	case carawaycart.KindZone:
+		err = n.applyZone(change)
+	case carawaycart.KindSettle:
+		err = n.applySettle(change)
+	default:
+		err = errors.NotValidf("object kind %q", change.Kind)
+	}
+	if err != nil {
+		return nil, errors.Annotatef(err, "revision %d", change.Revision)
+	}
+	n.Revision = change.Revision
+	n.LastID = change.ID
+	return &n, nil
+}
+
+// Next returns the configuration that follows c by change. A change that Apply
+// refuses leaves everything but the revision as it is, on every instance alike,
+// and Next returns its error besides; the result is nil only if change does not
+// follow c's revision.
+func (c *Configuration) Next(change carawaycart.Change) (*Configuration, error) {
+	n, err := c.Apply(change)
+	if err == nil || change.Revision != c.Revision+1 {
+		return n, err
+	}
+	skipped := *c
+	skipped.Revision = change.Revision
+	skipped.LastID = change.ID
+	return &skipped, err
+}
+
+// decode reads change.After into v and reports whether the object is deleted.
+func decode(change carawaycart.Change, v any) (deleted bool, err error) {
+	if len(change.After) == 0 || string(change.After) == "null" {
+		return true, nil
+	}
+	return false, DecodeStrict(change.After, v)
+}
+
+func checkName[N ~string](change carawaycart.Change, name N) error {
+	if string(name) != change.Name {
+		return errors.NotValidf("%s %q under name %q", change.Kind, name, change.Name)
+	}
+	return nil
+}
+
+func (c *Configuration) applyProfile(change carawaycart.Change) error {
+	var p carawaycart.Profile
+	deleted, err := decode(change, &p)
+	if err != nil {
+		return err
+	}
+	name := carawaycart.ProfileName(change.Name)
+	c.Profiles = maps.Clone(c.Profiles)
+	if deleted {
+		for id, s := range c.Services {
+			if s.Profile == name {
+				return errors.NotValidf("deletion of profile %s, which service %s uses", name, id)
+			}
+		}
+		delete(c.Profiles, name)
+		return nil
+	}
+	if err := checkName(change, p.Name); err != nil {
+		return err
+	}
+	if err := ValidateProfile(p); err != nil {
+		return err
+	}
+	c.Profiles[name] = p
+	return nil
+}
+
+func (c *Configuration) applyService(change carawaycart.Change) error {
+	var s carawaycart.Service
+	deleted, err := decode(change, &s)
+	if err != nil {
+		return err
+	}
+	id := carawaycart.ServiceID(change.Name)
+	c.Services = maps.Clone(c.Services)
+	c.Slots = maps.Clone(c.Slots)
+	if deleted {
+		if len(c.members[id]) > 0 {
+			return errors.NotValidf("deletion of service %s, which has endpoints", id)
+		}
+		delete(c.Services, id)
+		delete(c.Slots, id)
+		return nil
+	}
+	if err := checkName(change, s.ID); err != nil {
+		return err
+	}
+	if err := c.validateService(s); err != nil {
+		return err
+	}
+	if _, ok := c.Slots[id]; !ok {
+		c.Slots[id] = slot.New(slot.Count(0))
+	}
+	c.Services[id] = s
+	return nil
+}
+
+func (c *Configuration) applyEndpoint(change carawaycart.Change) error {
+	var e carawaycart.Endpoint
+	deleted, err := decode(change, &e)
+	if err != nil {
+		return err
+	}
+	id := carawaycart.EndpointID(change.Name)
+	old, existed := c.Endpoints[id]
+	if deleted {
+		if !existed {
+			return errors.NotFoundf("endpoint %s", id)
+		}
+		e = old
+	} else {
+		if err := checkName(change, e.ID); err != nil {
+			return err
+		}
+		if err := c.validateEndpoint(e); err != nil {
+			return err
+		}
+	}
+	c.Endpoints = maps.Clone(c.Endpoints)
+	c.members = maps.Clone(c.members)
+	members := slices.DeleteFunc(slices.Clone(c.members[e.Service]), func(m carawaycart.EndpointID) bool { return m == id })
+	if deleted {
+		delete(c.Endpoints, id)
+	} else {
+		c.Endpoints[id] = e
+		members = append(members, id)
+		slices.Sort(members)
+	}
+	c.members[e.Service] = members
+	c.Slots = maps.Clone(c.Slots)
+	c.reassign(e.Service)
+	return nil
+}
+
+func (c *Configuration) applyZone(change carawaycart.Change) error {
+	var z carawaycart.Zone
+	deleted, err := decode(change, &z)
+	if err != nil {
+		return err
+	}
+	id := carawaycart.ZoneID(change.Name)
+	if deleted {
+		return errors.NotSupportedf("deletion of zone %s", id)
+	}
+	if err := checkName(change, z.ID); err != nil {
+		return err
+	}
+	if err := ValidateName(string(z.ID)); err != nil {
+		return errors.Annotate(err, "zone")
+	}
+	c.Zones = maps.Clone(c.Zones)
+	c.Zones[id] = z
+	c.Slots = maps.Clone(c.Slots)
+	for s, members := range c.members {
+		if slices.ContainsFunc(members, func(e carawaycart.EndpointID) bool { return c.Endpoints[e].Zone == id }) {
+			c.reassign(s)
+		}
+	}
+	return nil
+}
+
+func (c *Configuration) applySettle(change carawaycart.Change) error {
+	var s Settlement
+	if _, err := decode(change, &s); err != nil {
+		return err
+	}
+	id := carawaycart.ServiceID(change.Name)
+	t, ok := c.Slots[id]
+	if !ok {
+		return errors.NotFoundf("service %s", id)
+	}
+	c.Slots = maps.Clone(c.Slots)
+	c.Slots[id] = slot.Settle(t, s.Base, s.Current, s.Slots)
+	return nil
+}
+
+// reassign computes the slots of service id anew from its accepting endpoints.
+// When none accepts, the slots keep their endpoints.
+func (c *Configuration) reassign(id carawaycart.ServiceID) {
+	members := c.members[id]
+	var candidates []slot.Candidate
+	for _, m := range members {
+		if c.Accepting(m) {
+			candidates = append(candidates, slot.Candidate{ID: m, Weight: c.Endpoints[m].Flows})
+		}
+	}
+	t := slot.Grow(slot.Clone(c.Slots[id]), slot.Count(len(members)))
+	t = slot.Reassign(t, candidates)
+	c.Slots[id] = slot.Rebase(t, func(e carawaycart.EndpointID) bool { return !c.Holding(e) })
+}
--- /dev/null
+++ b/core/config/validate.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"regexp"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+)
+
+// Upper bounds of numbers in configuration objects.
+const (
+	maxCount   = 1_000_000
+	maxSeconds = 7 * 24 * 3600
+	maxPercent = 1000
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// DecodeStrict decodes one JSON object into v and refuses unknown fields and
+// trailing data.
+func DecodeStrict(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return errors.NewNotValid(err, "decode object")
+	}
+	if d.More() {
+		return errors.NotValidf("data after the object")
+	}
+	return nil
+}
+
+// ValidateName returns an error that is NotValid unless name may name an object.
+func ValidateName(name string) error {
+	if !namePattern.MatchString(name) {
+		return errors.NotValidf("name %q (want 1 to 63 of a-z, 0-9, '.', '-', beginning with a letter or digit)", name)
+	}
+	return nil
+}
+
+type bound struct {
+	field    string
+	value    int
+	min, max int
+}
+
+func validateBounds(bounds []bound) error {
+	for _, b := range bounds {
+		if b.value < b.min || b.value > b.max {
+			return errors.NotValidf("%s = %d (want %d to %d)", b.field, b.value, b.min, b.max)
+		}
+	}
+	return nil
+}
+
+// ValidateProfile returns an error that is NotValid unless every value of p is
+// in range.
+func ValidateProfile(p carawaycart.Profile) error {
+	if err := ValidateName(string(p.Name)); err != nil {
+		return errors.Annotate(err, "profile")
+	}
+	return errors.Annotatef(validateBounds([]bound{
+		{"coldFlows", p.ColdFlows, 0, maxCount},
+		{"coldRequests", p.ColdRequests, 0, maxCount},
+		{"warmupSeconds", int(p.WarmupSeconds), 0, maxSeconds},
+		{"drainSeconds", int(p.DrainSeconds), 1, maxSeconds},
+		{"flowIdleSeconds", int(p.FlowIdleSeconds), 1, maxSeconds},
+		{"requestSeconds", int(p.RequestSeconds), 1, maxSeconds},
+		{"queueSeconds", int(p.QueueSeconds), 0, maxSeconds},
+		{"retryPercent", p.RetryPercent, 0, maxPercent},
+		{"spillPercent", p.SpillPercent, 0, maxPercent},
+		{"answerSeconds", int(p.AnswerSeconds), 1, maxSeconds},
+	}), "profile %s", p.Name)
+}
+
+func (c *Configuration) validateService(s carawaycart.Service) error {
+	if err := ValidateName(string(s.ID)); err != nil {
+		return errors.Annotate(err, "service")
+	}
+	if !s.Address.IsValid() {
+		return errors.NotValidf("service %s: address", s.ID)
+	}
+	if _, ok := c.Profiles[s.Profile]; !ok {
+		return errors.NotFoundf("service %s: profile %q", s.ID, s.Profile)
+	}
+	for id, o := range c.Services {
+		if id != s.ID && o.Address == s.Address {
+			return errors.AlreadyExistsf("service %s: address %s of service %s", s.ID, s.Address, id)
+		}
+	}
+	return nil
+}
+
+func (c *Configuration) validateEndpoint(e carawaycart.Endpoint) error {
+	if err := ValidateName(string(e.ID)); err != nil {
+		return errors.Annotate(err, "endpoint")
+	}
+	if _, ok := c.Services[e.Service]; !ok {
+		return errors.NotFoundf("endpoint %s: service %q", e.ID, e.Service)
+	}
+	if _, ok := c.Zones[e.Zone]; !ok {
+		return errors.NotFoundf("endpoint %s: zone %q", e.ID, e.Zone)
+	}
+	if old, ok := c.Endpoints[e.ID]; ok && old.Service != e.Service {
+		return errors.NotValidf("endpoint %s: change of service from %s to %s", e.ID, old.Service, e.Service)
+	}
+	switch e.Mark {
+	case carawaycart.MarkNone, carawaycart.MarkLeaving, carawaycart.MarkEnded:
+	default:
+		return errors.NotValidf("endpoint %s: mark %q", e.ID, e.Mark)
+	}
+	if !e.FlowAddress.IsValid() && !e.RequestAddress.IsValid() {
+		return errors.NotValidf("endpoint %s: no flowAddress and no requestAddress", e.ID)
+	}
+	return errors.Annotatef(validateBounds([]bound{
+		{"flows", e.Flows, 1, maxCount},
+		{"slots", e.Slots, 0, maxCount},
+	}), "endpoint %s", e.ID)
+}
--- /dev/null
+++ b/core/member/view.go
@@ -0,0 +1,213 @@
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"carawaycart"
+	"carawaycart/internal/rendezvous"
+)
+
+// Peer is an instance in a View.
+type Peer struct {
+	ID      carawaycart.InstanceID
+	Zone    carawaycart.ZoneID
+	Address netip.AddrPort
+	name    rendezvous.Name
+}
+
+// View is an immutable snapshot of the instances that take part in keeping.
+type View struct {
+	ready   []Peer // decide and hold replicas, ordered by ID
+	joining []Peer // hold replicas only, ordered by ID
+}
+
+// MaxReplicas is the most replicas that Holders names besides the keeper.
+const MaxReplicas = 4
+
+// Holders names the instances that keep the state of one object.
+type Holders struct {
+	Keeper   carawaycart.InstanceID
+	Replicas [MaxReplicas]carawaycart.InstanceID
+	Count    int // number of Replicas in use
+}
+
+// Contains reports whether id is the keeper or a replica.
+func (h *Holders) Contains(id carawaycart.InstanceID) bool {
+	return h.Keeper == id || slices.Contains(h.Replicas[:h.Count], id)
+}
+
+func (h *Holders) add(id carawaycart.InstanceID) {
+	if id == "" || h.Contains(id) || h.Count == MaxReplicas {
+		return
+	}
+	h.Replicas[h.Count] = id
+	h.Count++
+}
+
+// NewView returns the view of members that are ready or joining and whose zone
+// is not excluded. If the exclusion would leave no ready member it is ignored.
+func NewView(members []carawaycart.Member, excluded func(carawaycart.ZoneID) bool) *View {
+	v := newView(members, excluded)
+	if len(v.ready) == 0 {
+		v = newView(members, func(carawaycart.ZoneID) bool { return false })
+	}
+	return v
+}
+
+func newView(members []carawaycart.Member, excluded func(carawaycart.ZoneID) bool) *View {
+	v := &View{}
+	for _, m := range members {
+		if excluded(m.Zone) {
+			continue
+		}
+		p := Peer{ID: m.ID, Zone: m.Zone, Address: m.PeerAddress, name: rendezvous.NewName(string(m.ID))}
+		switch m.State {
+		case carawaycart.MemberReady:
+			v.ready = append(v.ready, p)
+		case carawaycart.MemberJoining:
+			v.joining = append(v.joining, p)
+		}
+	}
+	byID := func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(v.ready, byID)
+	slices.SortFunc(v.joining, byID)
+	return v
+}
+
+// Ready returns the instances that decide, ordered by ID; the slice must not be
+// modified.
+func (v *View) Ready() []Peer { return v.ready }
+
+// Zones returns how many zones have a ready instance.
+func (v *View) Zones() int {
+	zones := make(map[carawaycart.ZoneID]struct{})
+	for _, p := range v.ready {
+		zones[p.Zone] = struct{}{}
+	}
+	return len(zones)
+}
+
+// HasZone reports whether zone has a ready instance.
+func (v *View) HasZone(zone carawaycart.ZoneID) bool {
+	return slices.ContainsFunc(v.ready, func(p Peer) bool { return p.Zone == zone })
+}
+
+// Holders returns the holders of the object with the given key; the Keeper is
+// empty if no instance is ready.
+//
+// The replicas are the highest-scoring ready instance after the keeper, the
+// highest outside the keeper's zone, and the same two over ready and joining
+// instances together, so that a joining instance receives what it will keep.
+func (v *View) Holders(key rendezvous.Key) Holders {
+	keeper, second, elsewhere := rank(key, v.ready, nil)
+	h := Holders{Keeper: keeper}
+	if keeper == "" {
+		return h
+	}
+	h.add(second)
+	h.add(elsewhere)
+	if len(v.joining) > 0 {
+		first, _, other := rank(key, v.ready, v.joining)
+		h.add(first)
+		h.add(other)
+	}
+	return h
+}
+
+// rank returns the highest-scoring peer, the second highest, and the highest
+// outside the zone of the first.
+func rank(key rendezvous.Key, ready, joining []Peer) (first, second, elsewhere carawaycart.InstanceID) {
+	var firstPeer, secondPeer *Peer
+	var high, next uint64
+	for _, peers := range [2][]Peer{ready, joining} {
+		for i := range peers {
+			p := &peers[i]
+			s := rendezvous.Score(p.name, key)
+			switch {
+			case firstPeer == nil || s > high:
+				secondPeer, next = firstPeer, high
+				firstPeer, high = p, s
+			case secondPeer == nil || s > next:
+				secondPeer, next = p, s
+			}
+		}
+	}
+	if firstPeer == nil {
+		return "", "", ""
+	}
+	if secondPeer == nil {
+		return firstPeer.ID, "", ""
+	}
+	return firstPeer.ID, secondPeer.ID, highestOutside(key, firstPeer.Zone, ready, joining)
+}
+
+func highestOutside(key rendezvous.Key, zone carawaycart.ZoneID, ready, joining []Peer) carawaycart.InstanceID {
+	var id carawaycart.InstanceID
+	var high uint64
+	for _, peers := range [2][]Peer{ready, joining} {
+		for i := range peers {
+			p := &peers[i]
+			if p.Zone == zone {
+				continue
+			}
+			if s := rendezvous.Score(p.name, key); id == "" || s > high {
+				id, high = p.ID, s
+			}
+		}
+	}
+	return id
+}
+
+// Address returns the peer address of instance id in the view.
+func (v *View) Address(id carawaycart.InstanceID) (netip.AddrPort, bool) {
+	for _, peers := range [2][]Peer{v.ready, v.joining} {
+		i, ok := slices.BinarySearchFunc(peers, id, func(p Peer, id carawaycart.InstanceID) int { return cmp.Compare(p.ID, id) })
+		if ok {
+			return peers[i].Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Neighbours appends to dst the peers that self probes and returns it: its
+// successor in the ring of its zone's instances, its highest-scoring other
+// peer of the zone, and its highest-scoring peer in each other zone.
+func (v *View) Neighbours(dst []Peer, self carawaycart.InstanceID, zone carawaycart.ZoneID) []Peer {
+	key := rendezvous.NewKey(string(self))
+	best := make(map[carawaycart.ZoneID]Peer)
+	var successor, first Peer
+	for _, peers := range [2][]Peer{v.ready, v.joining} {
+		for _, p := range peers {
+			if p.ID == self {
+				continue
+			}
+			if b, ok := best[p.Zone]; !ok || rendezvous.Score(p.name, key) > rendezvous.Score(b.name, key) {
+				best[p.Zone] = p
+			}
+			if p.Zone != zone {
+				continue
+			}
+			if first.ID == "" || p.ID < first.ID {
+				first = p
+			}
+			if p.ID > self && (successor.ID == "" || p.ID < successor.ID) {
+				successor = p
+			}
+		}
+	}
+	if successor.ID == "" {
+		successor = first
+	}
+	if successor.ID != "" {
+		dst = append(dst, successor)
+	}
+	for _, p := range best {
+		if p.ID != successor.ID {
+			dst = append(dst, p)
+		}
+	}
+	slices.SortFunc(dst, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return dst
+}
--- /dev/null
+++ b/flow.go
@@ -0,0 +1,116 @@
+package carawaycart
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Protocol is an IP protocol number.
+type Protocol uint8
+
+// The transport protocols that can be balanced.
+const (
+	TCP Protocol = 6
+	UDP Protocol = 17
+)
+
+// FlowKey identifies a flow by its caller, its service address and protocol.
+type FlowKey struct {
+	Caller   netip.AddrPort
+	Service  netip.AddrPort
+	Protocol Protocol
+}
+
+// flowKeyBytes is two 16-byte addresses, two ports and the protocol.
+const flowKeyBytes = 2*16 + 2*2 + 1
+
+// Fingerprint returns the hash of k by xxHash64.
+func (k FlowKey) Fingerprint() Fingerprint {
+	var b [flowKeyBytes]byte
+	a := k.Caller.Addr().As16()
+	copy(b[0:16], a[:])
+	a = k.Service.Addr().As16()
+	copy(b[16:32], a[:])
+	binary.BigEndian.PutUint16(b[32:34], k.Caller.Port())
+	binary.BigEndian.PutUint16(b[34:36], k.Service.Port())
+	b[36] = byte(k.Protocol)
+	return Fingerprint(xxhash.Sum64(b[:]))
+}
+
+// PacketKind tells where in the life of its flow a packet stands.
+type PacketKind uint8
+
+// The kinds of packet.
+const (
+	PacketMiddle PacketKind = iota // any packet that neither opens nor ends a flow
+	PacketFirst                    // opens a flow: TCP SYN without ACK
+	PacketLast                     // ends a flow: TCP FIN or RST
+)
+
+// Packet is the decoded part of a packet that decisions need.
+type Packet struct {
+	Key     FlowKey
+	Kind    PacketKind
+	Relayed bool // received from another instance
+}
+
+// Verdict is what is to be done with a packet.
+type Verdict uint8
+
+// The verdicts on a packet.
+const (
+	VerdictDrop    Verdict = iota // discard and count the Cause
+	VerdictForward                // send to Endpoint
+	VerdictRelay                  // send once to Instance
+)
+
+// Cause tells why a packet was dropped.
+type Cause uint8
+
+// The causes of a drop.
+const (
+	CauseNone           Cause = iota
+	CauseUnknownService       // no service has the address
+	CauseNoEndpoint           // the service has no endpoint that may take the flow
+	CauseNoKeeper             // no instance is ready to decide
+	CauseNotKeeper            // relayed to an instance that does not decide for the slot
+	CauseNoCapacity           // every endpoint of the service is at its limit
+	CauseSpreading            // other instances may not know yet that the slot needs its keeper
+	CauseNotReady             // this instance has no configuration yet
+	causeCount
+)
+
+// CauseCount is the number of causes.
+const CauseCount = int(causeCount)
+
+var causeNames = [CauseCount]string{
+	"none", "unknownService", "noEndpoint", "noKeeper", "notKeeper", "noCapacity", "spreading", "notReady",
+}
+
+// String returns the name of c as used in metrics.
+func (c Cause) String() string {
+	if int(c) >= CauseCount {
+		return "invalid"
+	}
+	return causeNames[c]
+}
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Verdict  Verdict
+	Cause    Cause
+	Endpoint EndpointID
+	Instance InstanceID
+	Record   bool // the keeper recorded a new flow, which must be replicated
+}
+
+// FlowRecord states which endpoint owns a flow that its slot's base does not.
+type FlowRecord struct {
+	Service     ServiceID
+	Fingerprint Fingerprint
+	Endpoint    EndpointID
+	Revision    Revision // configuration under which the flow was opened
+	OpenedUnix  int64    // nanoseconds since 1970
+}
--- /dev/null
+++ b/internal/control/keeping.go
@@ -0,0 +1,290 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+
+	"carawaycart"
+	"carawaycart/core/board"
+	"carawaycart/core/config"
+	"carawaycart/core/flow"
+	"carawaycart/core/limit"
+	"carawaycart/core/member"
+	"carawaycart/internal/counters"
+	"carawaycart/io/endpoint"
+	"carawaycart/io/platform"
+)
+
+const (
+	keepPeriod    = 200 * time.Millisecond
+	reportPeriod  = 500 * time.Millisecond
+	reportTimeout = 400 * time.Millisecond
+	settlePeriod  = 2 * time.Second
+	appendTimeout = 5 * time.Second
+)
+
+// Keeping judges the endpoints that the instance is keeper of: it fetches their
+// reports, states their status, and ends what has drained.
+type Keeping struct {
+	board      *board.Board
+	table      *member.Table
+	records    *flow.Records
+	replicator *Replicator
+	spreader   *Spreader
+	reporter   carawaycart.Reporter
+	log        *platform.ChangeLog
+	counters   *counters.Counters
+	clock      carawaycart.Clock
+
+	mu      sync.Mutex
+	polling map[carawaycart.EndpointID]time.Time // deadline of the next poll
+
+	loop *loop
+}
+
+// NewKeeping returns a running controller.
+func NewKeeping(b *board.Board, t *member.Table, r *flow.Records, re *Replicator, s *Spreader, p carawaycart.Reporter,
+	l *platform.ChangeLog, c *counters.Counters, k carawaycart.Clock,
+) *Keeping {
+	ke := &Keeping{
+		board: b, table: t, records: r, replicator: re, spreader: s, reporter: p, log: l, counters: c, clock: k,
+		polling: make(map[carawaycart.EndpointID]time.Time),
+	}
+	ke.loop = newLoop(
+		func(ctx context.Context) { every(ctx, keepPeriod, func() { ke.keep(ctx) }) },
+		func(ctx context.Context) { every(ctx, settlePeriod, func() { ke.settle(ctx) }) },
+	)
+	return ke
+}
+
+// Close ends the controller.
+func (ke *Keeping) Close() { ke.loop.Close() }
+
+func (ke *Keeping) keep(ctx context.Context) {
+	view := ke.board.View()
+	if view == nil {
+		return
+	}
+	now := ke.clock.Now()
+	ready := ke.table.Self().State == carawaycart.MemberReady
+	exceptions := ke.expire(ctx, view, now)
+	tally := newTally()
+	for id := range view.Config.Endpoints {
+		e := ke.board.Entry(id)
+		if !ready || !ke.keeps(e) {
+			e.CloseGate()
+			continue
+		}
+		ke.judge(ctx, view, e, exceptions[id], now)
+		tally.add(e)
+	}
+	tally.publish(ke.counters)
+	ke.publish(view)
+}
+
+func (ke *Keeping) keeps(e *board.Entry) bool {
+	return e.Holders(ke.board.Members()).Keeper == ke.board.Self
+}
+
+// judge opens the endpoint's gate if need be, polls it, and states its status.
+func (ke *Keeping) judge(ctx context.Context, view *board.View, e *board.Entry, exception bool, now time.Time) {
+	configured := *e.Endpoint()
+	profile := view.Config.Profiles[view.Config.Services[configured.Service].Profile]
+	gate := e.Gate()
+	if gate == nil {
+		gate = limit.NewGate(configured, profile, e.Status(), now)
+		e.OpenGate(gate, now)
+	}
+	gate.Configure(configured, profile)
+	if ke.due(e.ID, now) {
+		go ke.poll(ctx, e, gate)
+	}
+	gate.Guard(exception, now)
+	state, guarded := gate.Status()
+	before := e.Status().State
+	status, changed := e.State(ke.board.Self, state, guarded)
+	if !changed {
+		return
+	}
+	ke.spreader.Status(status)
+	if before != state {
+		klog.InfoS("endpoint changed state", "instance", ke.board.Self, "endpoint", e.ID, "before", before, "after", state)
+	}
+}
+
+func (ke *Keeping) due(id carawaycart.EndpointID, now time.Time) bool {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	if now.Before(ke.polling[id]) {
+		return false
+	}
+	ke.polling[id] = now.Add(reportPeriod)
+	return true
+}
+
+func (ke *Keeping) poll(ctx context.Context, e *board.Entry, gate *limit.Gate) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := ke.reporter.Report(ctx, e.Endpoint().RequestAddress)
+	now := ke.clock.Now()
+	if err != nil {
+		gate.Missed(endpoint.Refused(err), now)
+		return
+	}
+	gate.Observe(report, now)
+}
+
+// expire forgets ended flows, tells their replicas, and returns the current
+// endpoints of the slots that have flows elsewhere.
+func (ke *Keeping) expire(ctx context.Context, view *board.View, now time.Time) map[carawaycart.EndpointID]bool {
+	exceptions := make(map[carawaycart.EndpointID]bool)
+	members := ke.board.Members()
+	var ended []carawaycart.FlowRecord
+	expired := ke.records.Expire(nil, now, func(r *carawaycart.FlowRecord) flow.Retention {
+		route := view.ServiceByID(r.Service)
+		if route == nil {
+			return flow.Retention{}
+		}
+		t := route.Latest()
+		current := t.Slot(t.Index(r.Fingerprint)).Current
+		idle := route.Profile.FlowIdleSeconds.Duration()
+		if current == nil {
+			return flow.Retention{Idle: idle}
+		}
+		holders := current.Holders(members)
+		if holders.Keeper != ke.board.Self {
+			return flow.Retention{Idle: idle, Hold: holders.Contains(ke.board.Self)}
+		}
+		if r.Endpoint != current.ID {
+			exceptions[current.ID] = true
+		}
+		return flow.Retention{Idle: idle, Since: current.KeptSince()}
+	})
+	for _, r := range expired {
+		if h := holdersOf(view, members, &r); h != nil && h.Keeper == ke.board.Self {
+			ended = append(ended, r)
+		}
+	}
+	if len(ended) > 0 {
+		go ke.replicator.End(ctx, ended)
+	}
+	return exceptions
+}
+
+func (ke *Keeping) publish(view *board.View) {
+	dirty := 0
+	for _, r := range view.Services() {
+		dirty += r.Latest().Dirty()
+	}
+	ke.counters.SlotsDirty.Update(int64(dirty))
+	ke.counters.Records.Update(int64(ke.records.Len()))
+	ke.counters.MembersReady.Update(int64(len(ke.board.Members().Ready())))
+}
+
+// settle proposes that bases without flows give way, and that leaving endpoints
+// without slots, or past their deadline, end.
+func (ke *Keeping) settle(ctx context.Context) {
+	view := ke.board.View()
+	if view == nil || ke.table.Self().State != carawaycart.MemberReady {
+		return
+	}
+	now := ke.clock.Now()
+	for id, r := range view.Services() {
+		for _, s := range ke.settled(r, now) {
+			ke.append(ctx, carawaycart.KindSettle, string(id), replaceBy(s))
+		}
+	}
+	for id, e := range view.Config.Endpoints {
+		entry := ke.board.Entry(id)
+		if e.Mark == carawaycart.MarkLeaving && ke.keeps(entry) && ke.drained(view, entry, now) {
+			ke.append(ctx, carawaycart.KindEndpoint, string(id), endLeaving)
+		}
+	}
+}
+
+// settled returns, for each pair of base and current endpoint that the instance
+// decides for, the dirty slots whose base got no packet for the idle limit.
+func (ke *Keeping) settled(r *board.ServiceRoute, now time.Time) []config.Settlement {
+	type pair struct{ base, current *board.Entry }
+	found := make(map[pair]*config.Settlement)
+	var settlements []config.Settlement
+	idle := r.Profile.FlowIdleSeconds.Duration()
+	t := r.Latest()
+	if len(r.Recent) > 1 || t.Dirty() == 0 {
+		return nil
+	}
+	for i := range t.Len() {
+		index := carawaycart.SlotIndex(i)
+		s := t.Slot(index)
+		if s.Base == s.Current || s.Base == nil || s.Current == nil || !ke.keeps(s.Current) || s.Current.Gate() == nil {
+			continue
+		}
+		if now.Sub(r.BaseSeen(index)) < idle || now.Sub(s.Current.KeptSince()) < idle {
+			continue
+		}
+		p := pair{s.Base, s.Current}
+		if found[p] == nil {
+			found[p] = &config.Settlement{Base: s.Base.ID, Current: s.Current.ID}
+		}
+		found[p].Slots = append(found[p].Slots, index)
+	}
+	for _, s := range found {
+		settlements = append(settlements, *s)
+	}
+	return settlements
+}
+
+func (ke *Keeping) drained(view *board.View, e *board.Entry, now time.Time) bool {
+	configured := view.Config.Endpoints[e.ID]
+	if deadline := configured.DrainDeadline; !deadline.IsZero() && !now.Before(deadline) {
+		return true
+	}
+	r := view.ServiceByID(configured.Service)
+	if r == nil || len(r.Recent) > 1 {
+		return false
+	}
+	for _, owner := range r.Latest().Entries() {
+		if owner == e {
+			return false
+		}
+	}
+	return len(ke.records.Append(nil, func(r *carawaycart.FlowRecord) bool { return r.Endpoint == e.ID })) == 0
+}
+
+// update computes the new object of a change from the present one.
+type update func(present json.RawMessage) (json.RawMessage, error)
+
+func replaceBy(object any) update {
+	return func(json.RawMessage) (json.RawMessage, error) { return json.Marshal(object) }
+}
+
+// endLeaving marks an endpoint as ended unless operators have let it stay.
+func endLeaving(present json.RawMessage) (json.RawMessage, error) {
+	var e carawaycart.Endpoint
+	if err := config.DecodeStrict(present, &e); err != nil {
+		return nil, err
+	}
+	if e.Mark != carawaycart.MarkLeaving {
+		return nil, errors.NotValidf("end of endpoint %s, which is not leaving", e.ID)
+	}
+	e.Mark = carawaycart.MarkEnded
+	return json.Marshal(e)
+}
+
+// append writes a change in the instance's own name; if the store is down the
+// next round tries again.
+func (ke *Keeping) append(ctx context.Context, kind carawaycart.ObjectKind, name string, u update) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := ke.log.Append(ctx, platform.Edit{
+		Operator: carawaycart.OperatorName("instance/" + string(ke.board.Self)), Kind: kind, Name: name, Update: u,
+	})
+	if err != nil {
+		klog.V(1).InfoS("own change not accepted", "instance", ke.board.Self, "kind", kind, "name", name, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/control/news.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawaycart/core/board"
+	"carawaycart/core/config"
+	"carawaycart/core/member"
+	"carawaycart/internal/counters"
+	"carawaycart/message"
+
+	"carawaycart"
+)
+
+// News takes in what peers tell and passes on what is new.
+type News struct {
+	board      *board.Board
+	table      *member.Table
+	spreader   *Spreader
+	configurer *Configurer
+	counters   *counters.Counters
+	clock      carawaycart.Clock
+}
+
+// NewNews returns the intake of news.
+func NewNews(b *board.Board, t *member.Table, s *Spreader, f *Configurer, c *counters.Counters, k carawaycart.Clock) *News {
+	return &News{board: b, table: t, spreader: s, configurer: f, counters: c, clock: k}
+}
+
+// Merge takes in x, a message from a peer.
+func (n *News) Merge(x *message.Exchange) {
+	now := n.clock.Now()
+	if n.mergeMembers(x) {
+		n.spreader.Wake()
+	}
+	for _, s := range x.GetStatuses() {
+		status, err := message.ToStatus(s)
+		if err != nil {
+			n.counters.MessagesRefused.Inc(1)
+			continue
+		}
+		if n.board.Entry(status.Endpoint).MergeStatus(status) {
+			n.spreader.Status(status)
+		}
+	}
+	for _, data := range x.GetChanges() {
+		var c carawaycart.Change
+		if err := config.DecodeStrict(data, &c); err != nil {
+			n.counters.MessagesRefused.Inc(1)
+			continue
+		}
+		n.configurer.Offer(c, now)
+	}
+}
+
+func (n *News) mergeMembers(x *message.Exchange) bool {
+	now := n.clock.Now()
+	news := false
+	for _, m := range append(x.GetMembers(), x.GetSelf()) {
+		if m == nil {
+			continue
+		}
+		statement, err := message.ToMember(m)
+		if err != nil {
+			n.counters.MessagesRefused.Inc(1)
+			continue
+		}
+		news = n.table.Merge(statement, now) || news
+	}
+	return news
+}
+
+// Same reports whether the sender of x knows the same members and statuses.
+func (n *News) Same(x *message.Exchange) bool {
+	return x.GetMemberDigest() == n.table.Digest() && x.GetStatusDigest() == statusDigest(n.board)
+}
+
+// statusDigest returns a hash of all statuses; boards with equal statuses have
+// equal digests.
+func statusDigest(b *board.Board) uint64 {
+	var sum uint64
+	b.Entries(func(e *board.Entry) {
+		s := e.Status()
+		if s.Version == 0 {
+			return
+		}
+		var buf [24]byte
+		binary.LittleEndian.PutUint64(buf[0:8], xxhash.Sum64String(string(s.Endpoint)))
+		binary.LittleEndian.PutUint64(buf[8:16], xxhash.Sum64String(string(s.Keeper)))
+		binary.LittleEndian.PutUint64(buf[16:24], uint64(s.Version))
+		sum ^= xxhash.Sum64(buf[:])
+	})
+	return sum
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+	"carawaycart/core/board"
+	"carawaycart/core/claim"
+	"carawaycart/core/flow"
+	"carawaycart/internal/counters"
+	"carawaycart/message"
+)
+
+// Peers answers the calls of other instances. It implements peer.Handler.
+type Peers struct {
+	board      *board.Board
+	news       *News
+	spreader   *Spreader
+	configurer *Configurer
+	replicator *Replicator
+	orders     *Orders
+	permits    *Permits
+	records    *flow.Records
+	claims     *claim.Table
+	counters   *counters.Counters
+}
+
+// NewPeers returns the handler of calls from peers.
+func NewPeers(b *board.Board, n *News, s *Spreader, f *Configurer, re *Replicator, o *Orders, pe *Permits,
+	r *flow.Records, a *claim.Table, c *counters.Counters,
+) *Peers {
+	return &Peers{
+		board: b, news: n, spreader: s, configurer: f, replicator: re, orders: o, permits: pe,
+		records: r, claims: a, counters: c,
+	}
+}
+
+// Exchange takes in a probe, and answers with everything if the sender's view
+// of the fleet differs.
+func (p *Peers) Exchange(x *message.Exchange) (*message.Exchange, error) {
+	p.news.Merge(x)
+	if p.news.Same(x) {
+		return p.spreader.Probe(), nil
+	}
+	return p.spreader.Full(), nil
+}
+
+// Pull returns what a newcomer lacks.
+func (p *Peers) Pull(r *message.PullRequest) (*message.PullReply, error) {
+	reply := &message.PullReply{Exchange: p.spreader.Full()}
+	changes, snapshot := p.configurer.Since(carawaycart.Revision(r.GetRevision()))
+	if snapshot != nil {
+		data, err := snapshot.Encode()
+		if err != nil {
+			return nil, err
+		}
+		reply.Snapshot = data
+	}
+	for _, c := range changes {
+		data, err := json.Marshal(c)
+		if err != nil {
+			return nil, errors.Annotatef(err, "encode revision %d", c.Revision)
+		}
+		reply.Changes = append(reply.Changes, data)
+	}
+	if r.GetRecords() {
+		all := p.records.Append(nil, func(*carawaycart.FlowRecord) bool { return true })
+		reply.Records = message.FromRecords(all, nil)
+	}
+	if r.GetClaims() {
+		reply.Claims = &message.ClaimBatch{}
+		for _, c := range p.claims.Append(nil, func(*carawaycart.Claim) bool { return true }) {
+			reply.Claims.Claims = append(reply.Claims.Claims, message.FromClaim(c))
+		}
+	}
+	return reply, nil
+}
+
+// Records takes in replicated flow records.
+func (p *Peers) Records(b *message.RecordBatch) error {
+	p.replicator.TakeRecords(b)
+	return nil
+}
+
+// Begin takes in an attempt as keeper of its key.
+func (p *Peers) Begin(m *message.Claim) (*message.ClaimReply, error) {
+	c, err := message.ToClaim(m)
+	if err != nil {
+		p.counters.MessagesRefused.Inc(1)
+		return nil, err
+	}
+	verdict, held := p.orders.Keep(context.Background(), c)
+	return &message.ClaimReply{Verdict: message.ClaimReply_Verdict(verdict), Claim: message.FromClaim(held)}, nil
+}
+
+// Finish takes in the end of an attempt as keeper of its key.
+func (p *Peers) Finish(m *message.Claim) error {
+	c, err := message.ToClaim(m)
+	if err != nil {
+		p.counters.MessagesRefused.Inc(1)
+		return err
+	}
+	p.orders.Kept(c)
+	return nil
+}
+
+// Copy takes in replicated claims.
+func (p *Peers) Copy(b *message.ClaimBatch) (*message.ClaimCopies, error) {
+	return p.replicator.TakeClaims(b), nil
+}
+
+// Acquire grants a request slot as keeper of the endpoint.
+func (p *Peers) Acquire(r *message.AcquireRequest) (*message.AcquireReply, error) {
+	state := p.board.Entry(carawaycart.EndpointID(r.GetEndpoint())).Status().State
+	return &message.AcquireReply{Granted: p.permits.Grant(r), State: uint32(state)}, nil
+}
+
+// Release takes a request slot back.
+func (p *Peers) Release(r *message.ReleaseRequest) error {
+	p.permits.Return(r)
+	return nil
+}
--- /dev/null
+++ b/internal/control/permits.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"carawaycart"
+	"carawaycart/core/board"
+	"carawaycart/io/peer"
+	"carawaycart/message"
+)
+
+const (
+	acquireTimeout = 300 * time.Millisecond
+	registerPeriod = 200 * time.Millisecond
+)
+
+// Permit is the permission to use one request slot of an endpoint.
+type Permit struct {
+	ID       carawaycart.PermitID
+	Entry    *board.Entry
+	Deadline time.Time
+	keeper   carawaycart.InstanceID
+}
+
+// Permits acquires request slots from the keepers of endpoints, and registers
+// those in use again when a keeper changes.
+type Permits struct {
+	board  *board.Board
+	client *peer.Client
+	clock  carawaycart.Clock
+
+	mu   sync.Mutex
+	held map[carawaycart.PermitID]*Permit
+
+	loop *loop
+}
+
+// NewPermits returns a running controller of permits.
+func NewPermits(b *board.Board, p *peer.Client, k carawaycart.Clock) *Permits {
+	pe := &Permits{board: b, client: p, clock: k, held: make(map[carawaycart.PermitID]*Permit)}
+	pe.loop = newLoop(func(ctx context.Context) { every(ctx, registerPeriod, func() { pe.register(ctx) }) })
+	return pe
+}
+
+// Close ends the controller.
+func (pe *Permits) Close() { pe.loop.Close() }
+
+// Acquire returns a permit for a request slot of e until deadline, or nil if
+// the keeper grants none now.
+func (pe *Permits) Acquire(ctx context.Context, e *board.Entry, deadline time.Time) *Permit {
+	p := &Permit{ID: carawaycart.PermitID(uuid.NewString()), Entry: e, Deadline: deadline}
+	p.keeper = e.Holders(pe.board.Members()).Keeper
+	if !pe.ask(ctx, p, false) {
+		return nil
+	}
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.held[p.ID] = p
+	return p
+}
+
+func (pe *Permits) ask(ctx context.Context, p *Permit, held bool) bool {
+	request := &message.AcquireRequest{
+		Endpoint: string(p.Entry.ID), Permit: string(p.ID), Holder: string(pe.board.Self),
+		DeadlineUnix: p.Deadline.UnixNano(), Held: held,
+	}
+	if p.keeper == pe.board.Self {
+		return pe.Grant(request)
+	}
+	address, ok := pe.board.Members().Address(p.keeper)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	defer cancel()
+	reply := &message.AcquireReply{}
+	return pe.client.Call(ctx, address, "Acquire", request, reply) == nil && reply.GetGranted()
+}
+
+// Grant answers a request for a slot as keeper of its endpoint.
+func (pe *Permits) Grant(r *message.AcquireRequest) bool {
+	now := pe.clock.Now()
+	gate := pe.board.Entry(carawaycart.EndpointID(r.GetEndpoint())).Gate()
+	if gate == nil || !pe.board.Awake(now) {
+		return false
+	}
+	id, holder := carawaycart.PermitID(r.GetPermit()), carawaycart.InstanceID(r.GetHolder())
+	deadline := time.Unix(0, r.GetDeadlineUnix())
+	if r.GetHeld() {
+		gate.Register(id, holder, deadline)
+		return true
+	}
+	return gate.Acquire(id, holder, deadline, now)
+}
+
+// Release returns p; shed tells that the endpoint refused the request.
+func (pe *Permits) Release(p *Permit, shed bool) {
+	pe.mu.Lock()
+	delete(pe.held, p.ID)
+	keeper := p.keeper
+	pe.mu.Unlock()
+	request := &message.ReleaseRequest{Endpoint: string(p.Entry.ID), Permit: string(p.ID), Shed: shed}
+	if keeper == pe.board.Self {
+		pe.Return(request)
+		return
+	}
+	address, ok := pe.board.Members().Address(keeper)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+		defer cancel()
+		// A release that is lost is made up for by the permit's deadline.
+		_ = pe.client.Call(ctx, address, "Release", request, &message.Acknowledgement{})
+	}()
+}
+
+// Return takes a slot back as keeper of its endpoint.
+func (pe *Permits) Return(r *message.ReleaseRequest) {
+	if gate := pe.board.Entry(carawaycart.EndpointID(r.GetEndpoint())).Gate(); gate != nil {
+		gate.Release(carawaycart.PermitID(r.GetPermit()), r.GetShed(), pe.clock.Now())
+	}
+}
+
+// register makes the permits in use known to keepers that took over.
+func (pe *Permits) register(ctx context.Context) {
+	members := pe.board.Members()
+	var moved []*Permit
+	pe.mu.Lock()
+	for _, p := range pe.held {
+		if keeper := p.Entry.Holders(members).Keeper; keeper != p.keeper {
+			p.keeper = keeper
+			moved = append(moved, &Permit{ID: p.ID, Entry: p.Entry, Deadline: p.Deadline, keeper: keeper})
+		}
+	}
+	pe.mu.Unlock()
+	for _, p := range moved {
+		pe.ask(ctx, p, true)
+	}
+}
--- /dev/null
+++ b/internal/control/spreader.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/board"
+	"carawaycart/core/member"
+	"carawaycart/internal/counters"
+	"carawaycart/io/peer"
+	"carawaycart/message"
+)
+
+const (
+	spreadDelay  = 20 * time.Millisecond // collects news into one message
+	probeTimeout = 400 * time.Millisecond
+)
+
+// Spreader passes news about members, endpoints and configuration on to the
+// instance's neighbours, which pass on what was news to them.
+type Spreader struct {
+	board    *board.Board
+	table    *member.Table
+	client   *peer.Client
+	counters *counters.Counters
+	zone     carawaycart.ZoneID
+
+	mu       sync.Mutex
+	statuses []carawaycart.EndpointStatus
+	changes  []carawaycart.Change
+
+	wake chan struct{}
+	loop *loop
+}
+
+// NewSpreader returns a running spreader.
+func NewSpreader(b *board.Board, t *member.Table, p *peer.Client, c *counters.Counters) *Spreader {
+	s := &Spreader{board: b, table: t, client: p, counters: c, zone: t.Self().Zone, wake: make(chan struct{}, 1)}
+	s.loop = newLoop(func(ctx context.Context) {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.wake:
+			}
+			if !sleep(ctx, spreadDelay) {
+				return
+			}
+			s.flush(ctx)
+		}
+	})
+	return s
+}
+
+// Close stops spreading.
+func (s *Spreader) Close() { s.loop.Close() }
+
+// Status queues a status that was news here.
+func (s *Spreader) Status(status carawaycart.EndpointStatus) {
+	s.mu.Lock()
+	s.statuses = append(s.statuses, status)
+	s.mu.Unlock()
+	s.Wake()
+}
+
+// Change queues a change that was news here.
+func (s *Spreader) Change(c carawaycart.Change) {
+	s.mu.Lock()
+	s.changes = append(s.changes, c)
+	s.mu.Unlock()
+	s.Wake()
+}
+
+// Wake makes the spreader send queued news, those of the member table included.
+func (s *Spreader) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Neighbours returns the peers that the instance probes.
+func (s *Spreader) Neighbours() []member.Peer {
+	return s.board.Members().Neighbours(nil, s.board.Self, s.zone)
+}
+
+func (s *Spreader) flush(ctx context.Context) {
+	members := s.table.TakeNews()
+	if len(members) > 0 {
+		s.board.SetMembers(s.table.Members())
+	}
+	s.mu.Lock()
+	statuses, changes := s.statuses, s.changes
+	s.statuses, s.changes = nil, nil
+	s.mu.Unlock()
+	if len(members)+len(statuses)+len(changes) == 0 {
+		return
+	}
+	news := s.exchange(members, statuses, changes)
+	for _, n := range s.Neighbours() {
+		go s.send(ctx, n, news)
+	}
+}
+
+// send passes news to a neighbour; what is lost is made up for by the next
+// probe, whose digests differ.
+func (s *Spreader) send(ctx context.Context, n member.Peer, news *message.Exchange) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply := &message.Exchange{}
+	if err := s.client.Call(ctx, n.Address, "Exchange", news, reply); err != nil {
+		s.counters.ProbesFailed.Inc(1)
+	}
+}
+
+func (s *Spreader) exchange(members []carawaycart.Member, statuses []carawaycart.EndpointStatus, changes []carawaycart.Change) *message.Exchange {
+	x := &message.Exchange{
+		Self:         message.FromMember(s.table.Self()),
+		MemberDigest: s.table.Digest(),
+		StatusDigest: statusDigest(s.board),
+	}
+	for _, m := range members {
+		x.Members = append(x.Members, message.FromMember(m))
+	}
+	for _, st := range statuses {
+		x.Statuses = append(x.Statuses, message.FromStatus(st))
+	}
+	for _, c := range changes {
+		if data, err := json.Marshal(c); err == nil {
+			x.Changes = append(x.Changes, data)
+		}
+	}
+	return x
+}
+
+// Probe returns a probe without news.
+func (s *Spreader) Probe() *message.Exchange { return s.exchange(nil, nil, nil) }
+
+// Full returns everything that is known about members and endpoints.
+func (s *Spreader) Full() *message.Exchange {
+	var statuses []carawaycart.EndpointStatus
+	s.board.Entries(func(e *board.Entry) {
+		if st := e.Status(); st.Version > 0 {
+			statuses = append(statuses, st)
+		}
+	})
+	return s.exchange(s.table.Members(), statuses, nil)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,241 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+	"gopkg.in/ini.v1"
+
+	"carawaycart"
+	"carawaycart/core/config"
+)
+
+const (
+	minThreads = 1
+	maxThreads = 64
+)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	ID            carawaycart.InstanceID
+	Zone          carawaycart.ZoneID
+	Fabric        netip.AddrPort // UDP, Geneve from the fabric
+	Request       netip.AddrPort // TCP, HTTP from callers
+	Peer          netip.AddrPort // TCP for calls and UDP for packets of peers
+	Operator      netip.AddrPort // TCP, HTTP for operators and metrics
+	Store         string         // URL of the platform's store
+	List          string         // URL of the platform's instance list
+	Seeds         []netip.AddrPort
+	FabricThreads int
+}
+
+// Fault is one thing wrong with a settings file.
+type Fault struct {
+	File    string
+	Section string
+	Key     string // empty if the section as a whole is at fault
+	Problem string
+}
+
+// String returns the fault in one line.
+func (f Fault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("%s: [%s]: %s", f.File, f.Section, f.Problem)
+	}
+	return fmt.Sprintf("%s: [%s] %s: %s", f.File, f.Section, f.Key, f.Problem)
+}
+
+// FaultsError holds all faults of a file. It is NotValid.
+type FaultsError []Fault
+
+// Error returns one line per fault.
+func (e FaultsError) Error() string {
+	lines := make([]string, len(e))
+	for i, f := range e {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Is reports whether target is errors.NotValid.
+func (e FaultsError) Is(target error) bool { return target == error(errors.NotValid) }
+
+// Field describes one setting.
+type Field struct {
+	Section  string
+	Key      string
+	Meaning  string
+	Default  string
+	Required bool
+	set      func(*Settings, string) error
+}
+
+// Fields returns the description of every setting, in order of the file.
+func Fields() []Field { return slices.Clone(fields) }
+
+var fields = []Field{
+	{Section: "instance", Key: "id", Meaning: "Name of the instance, unique in the fleet and over restarts.", Required: true,
+		set: func(s *Settings, v string) error {
+			s.ID = carawaycart.InstanceID(v)
+			return config.ValidateName(v)
+		}},
+	{Section: "instance", Key: "zone", Meaning: "Availability zone that the instance runs in.", Required: true,
+		set: func(s *Settings, v string) error {
+			s.Zone = carawaycart.ZoneID(v)
+			return config.ValidateName(v)
+		}},
+	{Section: "listen", Key: "fabric", Meaning: "UDP address for Geneve packets from the fabric.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Fabric })},
+	{Section: "listen", Key: "request", Meaning: "TCP address for HTTP requests of callers.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Request })},
+	{Section: "listen", Key: "peer", Meaning: "TCP and UDP address for other instances; must not be a wildcard address.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Peer })},
+	{Section: "listen", Key: "operator", Meaning: "TCP address for operators and metrics over HTTP.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Operator })},
+	{Section: "platform", Key: "store", Meaning: "URL of the platform's key-value service.", Required: true,
+		set: func(s *Settings, v string) error {
+			s.Store = v
+			return checkURL(v)
+		}},
+	{Section: "platform", Key: "list", Meaning: "URL of the platform's instance list.", Required: true,
+		set: func(s *Settings, v string) error {
+			s.List = v
+			return checkURL(v)
+		}},
+	{Section: "peers", Key: "seeds", Meaning: "Peer addresses to join by besides those of the list, separated by commas.",
+		set: setSeeds},
+	{Section: "threads", Key: "fabric", Meaning: "Threads that forward packets, 1 to 64.", Default: "2",
+		set: setThreads},
+}
+
+func address(field func(*Settings) *netip.AddrPort) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			return errors.NotValidf("%q (want an IP number and a port, as 10.0.0.1:6081)", v)
+		}
+		*field(s) = a
+		return nil
+	}
+}
+
+func checkURL(v string) error {
+	u, err := url.Parse(v)
+	if err != nil || u.Scheme != "http" || u.Host == "" || u.Path != "" || u.RawQuery != "" {
+		return errors.NotValidf("%q (want http://IP:PORT)", v)
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		return errors.NotValidf("%q (want http://IP:PORT)", v)
+	}
+	return nil
+}
+
+func setSeeds(s *Settings, v string) error {
+	for _, part := range strings.Split(v, ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(part))
+		if err != nil {
+			return errors.NotValidf("%q (want IP numbers with ports, separated by commas)", v)
+		}
+		s.Seeds = append(s.Seeds, a)
+	}
+	return nil
+}
+
+func setThreads(s *Settings, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < minThreads || n > maxThreads {
+		return errors.NotValidf("%q (want %d to %d)", v, minThreads, maxThreads)
+	}
+	s.FabricThreads = n
+	return nil
+}
+
+// Read reads the file at path; the error is a FaultsError if the file can be
+// read but has faults.
+func Read(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings from data; name stands for the file in faults.
+func Parse(name string, data []byte) (Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, IgnoreInlineComment: true}, data)
+	if err != nil {
+		return Settings{}, FaultsError{{File: name, Section: "", Problem: err.Error()}}
+	}
+	var s Settings
+	var faults FaultsError
+	for _, f := range fields {
+		if problem := readField(&s, file, f); problem != "" {
+			faults = append(faults, Fault{File: name, Section: f.Section, Key: f.Key, Problem: problem})
+		}
+	}
+	faults = append(faults, unknown(name, file)...)
+	faults = append(faults, crossCheck(name, &s)...)
+	if len(faults) > 0 {
+		return s, faults
+	}
+	return s, nil
+}
+
+func readField(s *Settings, file *ini.File, f Field) string {
+	section := file.Section(f.Section)
+	if !section.HasKey(f.Key) {
+		if f.Required {
+			return "missing"
+		}
+		if f.Default == "" {
+			return ""
+		}
+		return problem(f.set(s, f.Default))
+	}
+	values := section.Key(f.Key).ValueWithShadows()
+	if len(values) > 1 {
+		return fmt.Sprintf("given %d times", len(values))
+	}
+	return problem(f.set(s, section.Key(f.Key).String()))
+}
+
+func problem(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func unknown(name string, file *ini.File) FaultsError {
+	var faults FaultsError
+	for _, section := range file.Sections() {
+		known := slices.ContainsFunc(fields, func(f Field) bool { return f.Section == section.Name() })
+		if !known && section.Name() != ini.DefaultSection {
+			faults = append(faults, Fault{File: name, Section: section.Name(), Problem: "unknown section"})
+			continue
+		}
+		for _, key := range section.KeyStrings() {
+			match := func(f Field) bool { return f.Section == section.Name() && f.Key == key }
+			if !slices.ContainsFunc(fields, match) {
+				faults = append(faults, Fault{File: name, Section: section.Name(), Key: key, Problem: "unknown key"})
+			}
+		}
+	}
+	return faults
+}
+
+func crossCheck(name string, s *Settings) FaultsError {
+	if s.Peer.IsValid() && s.Peer.Addr().IsUnspecified() {
+		return FaultsError{{
+			File: name, Section: "listen", Key: "peer",
+			Problem: fmt.Sprintf("%s is a wildcard address, which peers cannot call", s.Peer),
+		}}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/operator/flow.go
@@ -0,0 +1,31 @@
+package operator
+
+import (
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+)
+
+// ParseFlow returns the key of the flow of the named protocol, "tcp" or "udp",
+// from address caller to address service; the error is NotValid.
+func ParseFlow(protocol, caller, service string) (carawaycart.FlowKey, error) {
+	var k carawaycart.FlowKey
+	switch protocol {
+	case "tcp", "":
+		k.Protocol = carawaycart.TCP
+	case "udp":
+		k.Protocol = carawaycart.UDP
+	default:
+		return k, errors.NotValidf("protocol %q (want tcp or udp)", protocol)
+	}
+	var err error
+	if k.Caller, err = netip.ParseAddrPort(caller); err != nil {
+		return k, errors.NotValidf("caller %q (want IP:PORT)", caller)
+	}
+	if k.Service, err = netip.ParseAddrPort(service); err != nil {
+		return k, errors.NotValidf("service %q (want IP:PORT)", service)
+	}
+	return k, nil
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"carawaycart/message"
+)
+
+// Handler answers the calls of peers; its methods must be safe for concurrent
+// use and idempotent.
+type Handler interface {
+	// Exchange takes in a probe with its news and returns news.
+	Exchange(*message.Exchange) (*message.Exchange, error)
+	// Pull returns what a newcomer lacks.
+	Pull(*message.PullRequest) (*message.PullReply, error)
+	// Records takes in replicated flow records.
+	Records(*message.RecordBatch) error
+	// Begin takes in an attempt as keeper of its key.
+	Begin(*message.Claim) (*message.ClaimReply, error)
+	// Finish takes in the end of an attempt as keeper of its key.
+	Finish(*message.Claim) error
+	// Copy takes in replicated claims and returns those that stand in the way.
+	Copy(*message.ClaimBatch) (*message.ClaimCopies, error)
+	// Acquire grants a request slot as keeper of the endpoint.
+	Acquire(*message.AcquireRequest) (*message.AcquireReply, error)
+	// Release takes a request slot back.
+	Release(*message.ReleaseRequest) error
+}
+
+// service adapts a Handler to the method signatures of net/rpc.
+type service struct{ handler Handler }
+
+func answer[M any](reply *M, result *M, err error, set func(dst, src *M)) error {
+	if err != nil {
+		return err
+	}
+	set(reply, result)
+	return nil
+}
+
+// Exchange serves Handler.Exchange.
+func (s *service) Exchange(args, reply *message.Exchange) error {
+	result, err := s.handler.Exchange(args)
+	return answer(reply, result, err, func(d, r *message.Exchange) {
+		d.Self, d.Members, d.Statuses, d.Changes = r.Self, r.Members, r.Statuses, r.Changes
+		d.MemberDigest, d.StatusDigest = r.MemberDigest, r.StatusDigest
+	})
+}
+
+// Pull serves Handler.Pull.
+func (s *service) Pull(args *message.PullRequest, reply *message.PullReply) error {
+	result, err := s.handler.Pull(args)
+	return answer(reply, result, err, func(d, r *message.PullReply) {
+		d.Snapshot, d.Changes, d.Exchange, d.Records, d.Claims = r.Snapshot, r.Changes, r.Exchange, r.Records, r.Claims
+	})
+}
+
+// Records serves Handler.Records.
+func (s *service) Records(args *message.RecordBatch, _ *message.Acknowledgement) error {
+	return s.handler.Records(args)
+}
+
+// Begin serves Handler.Begin.
+func (s *service) Begin(args *message.Claim, reply *message.ClaimReply) error {
+	result, err := s.handler.Begin(args)
+	return answer(reply, result, err, func(d, r *message.ClaimReply) { d.Verdict, d.Claim = r.Verdict, r.Claim })
+}
+
+// Finish serves Handler.Finish.
+func (s *service) Finish(args *message.Claim, _ *message.Acknowledgement) error {
+	return s.handler.Finish(args)
+}
+
+// Copy serves Handler.Copy.
+func (s *service) Copy(args *message.ClaimBatch, reply *message.ClaimCopies) error {
+	result, err := s.handler.Copy(args)
+	return answer(reply, result, err, func(d, r *message.ClaimCopies) { d.Conflicts = r.Conflicts })
+}
+
+// Acquire serves Handler.Acquire.
+func (s *service) Acquire(args *message.AcquireRequest, reply *message.AcquireReply) error {
+	result, err := s.handler.Acquire(args)
+	return answer(reply, result, err, func(d, r *message.AcquireReply) { d.Granted, d.State = r.Granted, r.State })
+}
+
+// Release serves Handler.Release.
+func (s *service) Release(args *message.ReleaseRequest, _ *message.Acknowledgement) error {
+	return s.handler.Release(args)
+}
+
+// Server accepts the calls of peers.
+type Server struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// NewServer serves handler on listener until Close, counting bytes with meter.
+func NewServer(listener net.Listener, handler Handler, meter Meter) (*Server, error) {
+	r := rpc.NewServer()
+	if err := r.RegisterName("Peer", &service{handler}); err != nil {
+		return nil, errors.Annotate(err, "register peer service")
+	}
+	s := &Server{listener: listener, conns: make(map[net.Conn]struct{})}
+	s.done.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if !s.add(conn) {
+				continue
+			}
+			s.done.Go(func() {
+				defer s.remove(conn)
+				r.ServeCodec(&serverCodec{newCodec(conn, meter)})
+			})
+		}
+	})
+	return s, nil
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops serving, closes all connections and waits for their handlers.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
