Run the thin path on embedded stand-ins

Cause: nothing exercised the balancer. Change: stand-ins for store, list, fabric, endpoints and callers with a ledger of what arrived; the demo with its script and report; the command line.

--- /dev/null
+++ b/cmd/carawaycart/balancer.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"k8s.io/klog/v2"
+
+	"carawaycart"
+	"carawaycart/internal/balancer"
+	"carawaycart/internal/settings"
+)
+
+func newBalancerCommand(stderr io.Writer) *ffcli.Command {
+	flags := newFlags("balancer")
+	config := flags.String("config", "", "settings `file` of the instance")
+	verbosity := flags.Int("v", 0, "verbosity of logs; 1 adds every applied change")
+	return newCommand(stderr, "balancer", "carawaycart balancer -config FILE.ini",
+		"Run one instance until SIGINT or SIGTERM, then stop it as planned.", flags,
+		func(ctx context.Context, args []string) error {
+			if *config == "" || len(args) > 0 {
+				return usagef("balancer: want -config FILE.ini and no arguments")
+			}
+			return runBalancer(ctx, *config, *verbosity)
+		})
+}
+
+func runBalancer(ctx context.Context, path string, verbosity int) error {
+	setUpLogs(verbosity)
+	s, err := settings.Read(path)
+	if err != nil {
+		return err
+	}
+	sockets, err := balancer.Open(s)
+	if err != nil {
+		return err
+	}
+	b, err := balancer.New(s, sockets, carawaycart.NewSystemClock())
+	if err != nil {
+		sockets.Close()
+		return err
+	}
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.Background(), balancer.StopLimit)
+	defer cancel()
+	return b.Stop(stop)
+}
+
+// setUpLogs makes klog write to standard error.
+func setUpLogs(verbosity int) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("logtostderr", "true")
+	_ = flags.Set("v", fmt.Sprint(verbosity))
+}
+
+func newCheckCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return newCommand(stderr, "check", "carawaycart check FILE.ini...",
+		"Check settings files and report every fault of each.", nil,
+		func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usagef("check: want one or more settings files")
+			}
+			return check(args, stdout)
+		})
+}
+
+func check(files []string, stdout io.Writer) error {
+	faulty := 0
+	for _, f := range files {
+		if _, err := settings.Read(f); err != nil {
+			faulty++
+			_, _ = fmt.Fprintln(stdout, err)
+			continue
+		}
+		_, _ = fmt.Fprintf(stdout, "%s: good\n", f)
+	}
+	if faulty > 0 {
+		return errors.Errorf("%d of %d files have faults", faulty, len(files))
+	}
+	return nil
+}
+
+// quietLogs sends logs to the file at path, or nowhere if path is empty.
+func quietLogs(path string) (func(), error) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	_ = flags.Set("logtostderr", "false")
+	_ = flags.Set("alsologtostderr", "false")
+	_ = flags.Set("stderrthreshold", "FATAL")
+	if path == "" {
+		klog.SetOutput(io.Discard)
+		return func() {}, nil
+	}
+	_ = flags.Set("v", "1")
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "open log")
+	}
+	klog.SetOutput(file)
+	return func() {
+		klog.Flush()
+		_ = file.Close()
+	}, nil
+}
--- /dev/null
+++ b/cmd/carawaycart/operator.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"carawaycart"
+	"carawaycart/core/config"
+	"carawaycart/internal/admin"
+	"carawaycart/io/platform"
+)
+
+// callLimit bounds an operator's command.
+const callLimit = 15 * time.Second
+
+// storeFlags are the flags of commands that use the platform's store.
+type storeFlags struct {
+	url      string
+	operator string
+	output   string
+}
+
+func (f *storeFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&f.url, "store", os.Getenv("CARAWAYCART_STORE"), "`URL` of the platform's store (default $CARAWAYCART_STORE)")
+	flags.StringVar(&f.operator, "operator", defaultOperator(), "operator's `name` for the audit trail")
+	flags.StringVar(&f.output, "output", "table", "`format` of the output, table or json")
+}
+
+func defaultOperator() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// session is an operator's connection to the change log.
+type session struct {
+	log    *platform.ChangeLog
+	admin  *admin.Admin
+	stdout io.Writer
+	json   bool
+}
+
+func (f *storeFlags) session(stdout io.Writer) (*session, error) {
+	switch {
+	case f.url == "":
+		return nil, usagef("want -store URL or $CARAWAYCART_STORE")
+	case f.operator == "":
+		return nil, usagef("want -operator NAME")
+	case f.output != "table" && f.output != "json":
+		return nil, usagef("-output %q (want table or json)", f.output)
+	}
+	clock := carawaycart.NewSystemClock()
+	log := platform.NewChangeLog(platform.NewStore(strings.TrimSuffix(f.url, "/"), nil), clock)
+	return &session{
+		log: log, admin: admin.NewAdmin(log, carawaycart.OperatorName(f.operator), clock), stdout: stdout, json: f.output == "json",
+	}, nil
+}
+
+// action is what a command does in a session.
+type action func(context.Context, *session, []string) error
+
+// newStoreCommand returns a command that takes want arguments and runs do.
+func newStoreCommand(stdout, stderr io.Writer, name, usage, help string, want int, do action, register ...func(*flag.FlagSet)) *ffcli.Command {
+	flags := newFlags(name)
+	var f storeFlags
+	f.register(flags)
+	for _, r := range register {
+		r(flags)
+	}
+	return newCommand(stderr, name, usage, help, flags, func(ctx context.Context, args []string) error {
+		if len(args) != want {
+			return usagef("%s: %d arguments (usage: %s)", name, len(args), usage)
+		}
+		s, err := f.session(stdout)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, callLimit)
+		defer cancel()
+		return do(ctx, s, args)
+	})
+}
+
+// accepted tells which change was accepted.
+func (s *session) accepted(c carawaycart.Change, err error) error {
+	if err != nil {
+		return errors.Annotate(err, "nothing was accepted")
+	}
+	if s.json {
+		return s.writeJSON(c)
+	}
+	_, err = fmt.Fprintf(s.stdout, "accepted as revision %d: %s %s (change %s)\n", c.Revision, c.Kind, c.Name, c.ID)
+	return err
+}
+
+func (s *session) writeJSON(v any) error {
+	e := json.NewEncoder(s.stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// list prints the values of m as JSON, or as a table with the given columns.
+func list[K ~string, V any](s *session, m map[K]V, header string, row func(V) []any) error {
+	names := make([]K, 0, len(m))
+	for k := range m {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	if s.json {
+		values := make([]V, 0, len(m))
+		for _, k := range names {
+			values = append(values, m[k])
+		}
+		return s.writeJSON(values)
+	}
+	t := tabwriter.NewWriter(s.stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, header)
+	for _, k := range names {
+		for i, cell := range row(m[k]) {
+			if i > 0 {
+				_, _ = fmt.Fprint(t, "\t")
+			}
+			_, _ = fmt.Fprint(t, cell)
+		}
+		_, _ = fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
+
+// show prints the object of a kind and name.
+func show(ctx context.Context, s *session, kind carawaycart.ObjectKind, name string) error {
+	c, err := s.log.Latest(ctx)
+	if err != nil {
+		return err
+	}
+	data, err := c.Current(kind, name)
+	if err != nil {
+		return err
+	}
+	if data == nil {
+		return errors.NotFoundf("%s %s", kind, name)
+	}
+	return s.writeJSON(data)
+}
+
+// setFields reads "field=value" arguments into the JSON object of a kind and
+// name and writes it back.
+func setFields(ctx context.Context, s *session, kind carawaycart.ObjectKind, name, idField string, assignments []string, strict any) error {
+	c, err := s.log.Latest(ctx)
+	if err != nil {
+		return err
+	}
+	present, err := c.Current(kind, name)
+	if err != nil {
+		return err
+	}
+	object := make(map[string]json.RawMessage)
+	if present != nil {
+		if err := json.Unmarshal(present, &object); err != nil {
+			return errors.Annotatef(err, "present %s %s", kind, name)
+		}
+	}
+	object[idField], _ = json.Marshal(name)
+	for _, a := range assignments {
+		field, value, ok := strings.Cut(a, "=")
+		if !ok {
+			return usagef("%q (want FIELD=VALUE)", a)
+		}
+		object[field] = fieldValue(value)
+	}
+	data, err := json.Marshal(object)
+	if err != nil {
+		return errors.Annotatef(err, "%s %s", kind, name)
+	}
+	if err := config.DecodeStrict(data, strict); err != nil {
+		return errors.Annotatef(err, "%s %s", kind, name)
+	}
+	return s.accepted(s.admin.Put(ctx, kind, name, strict))
+}
+
+// fieldValue encodes a value of the command line: a number as such, anything
+// else as a string.
+func fieldValue(v string) json.RawMessage {
+	var number json.Number
+	if err := json.Unmarshal([]byte(v), &number); err == nil && !strings.HasPrefix(v, `"`) {
+		return json.RawMessage(v)
+	}
+	data, _ := json.Marshal(v)
+	return data
+}
--- /dev/null
+++ b/cmd/carawaycart/standin.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"carawaycart/internal/demo"
+	"carawaycart/internal/standin"
+)
+
+func newStandinCommand(stdout, stderr io.Writer) *ffcli.Command {
+	flags := newFlags("standin")
+	site := flags.String("site", "froepapir", "customer whose sizes to use, froepapir or brunnhalder")
+	dir := flags.String("dir", ".", "`directory` to write the settings files of the instances to")
+	instances := flags.Int("instances", 3, "how many settings files to write")
+	port := flags.Int("port", 21000, "first of the instances' ports")
+	return newCommand(stderr, "standin", "carawaycart standin [-site NAME] [-dir DIR] [-instances N]",
+		"Run the stand-ins alone, for instances that are started by hand.", flags,
+		func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("standin: want no arguments")
+			}
+			s, err := standin.SiteByName(*site)
+			if err != nil {
+				return usagef("standin: %v", err)
+			}
+			return runStandins(ctx, s, *dir, *instances, *port, stdout)
+		})
+}
+
+func runStandins(ctx context.Context, site standin.Site, dir string, instances, port int, stdout io.Writer) error {
+	closeLogs, err := quietLogs("")
+	if err != nil {
+		return err
+	}
+	defer closeLogs()
+	by, err := demo.NewBystander(ctx, site, demo.ExternalInstances(site, instances, port))
+	if err != nil {
+		return err
+	}
+	defer by.Close()
+	for _, i := range by.Instances() {
+		path := filepath.Join(dir, string(i.ID)+".ini")
+		if err := os.WriteFile(path, []byte(by.Settings(i)), 0o644); err != nil {
+			return errors.Annotate(err, "write settings")
+		}
+		_, _ = fmt.Fprintf(stdout, "carawaycart balancer -config %s\n", path)
+	}
+	_, _ = fmt.Fprintf(stdout, "store: %s\nstop with an interrupt, which prints what arrived\n", by.StoreURL())
+	by.Run(ctx)
+	return by.Report(stdout)
+}
--- /dev/null
+++ b/internal/demo/report.go
@@ -0,0 +1,115 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"carawaycart/internal/standin"
+)
+
+// Report is the result of a demo.
+type Report struct {
+	Seed      uint64 `json:"seed"`
+	Site      string `json:"site"`
+	Instances int    `json:"instances"`
+	standin.Totals
+	ImbalanceMaxOverMean     float64 `json:"imbalanceMaxOverMean"`
+	ControlBytesPerSecondMax float64 `json:"controlBytesPerSecondMax"`
+	ControlBytesPeakSecond   float64 `json:"controlBytesPeakSecond"`
+	ConfigInForceSecondsMax  float64 `json:"configInForceSecondsMax"`
+	ConfigReverts            int     `json:"configReverts"`
+	StoreCallsPeakSecond     int64   `json:"storeCallsPeakSecond"`
+	SlotsDirtyAtEnd          int64   `json:"slotsDirtyAtEnd"`
+	ElapsedSeconds           float64 `json:"elapsedSeconds"`
+}
+
+// maxInForceSeconds is how long an accepted change may take to be in force
+// everywhere.
+const maxInForceSeconds = 5
+
+// Breach is a promise that a run did not hold.
+type Breach struct {
+	Promise string
+	Seen    string
+}
+
+// Breaches returns the promises that the run did not hold.
+func (r *Report) Breaches() []Breach {
+	var breaches []Breach
+	none := func(n int, promise string) {
+		if n != 0 {
+			breaches = append(breaches, Breach{Promise: promise, Seen: fmt.Sprintf("%d", n)})
+		}
+	}
+	none(r.FlowsBroken, "an established flow survives any planned change")
+	none(r.PacketsToWrongService, "a packet never reaches another service")
+	none(r.ColdOverload, "a cold endpoint gets no more than it bears")
+	none(r.PacketsAfterZoneOut, "a zone taken out gets no more packets after a few seconds")
+	none(r.AnswersCrossed, "a caller gets the answer to its own request")
+	none(r.AnswersTruncated, "a caller gets the whole answer")
+	none(r.FalseRefusals, "a refusal that says not run is true")
+	none(r.OrdersRunTwice, "a non-idempotent order runs at most once")
+	none(r.WorkAfterLeave, "a leaving endpoint gets no new work after a few seconds")
+	none(r.RequestsCutByStop, "a planned stop cuts no request")
+	none(r.ConfigReverts, "an accepted configuration never reverts")
+	if r.ConfigInForceSecondsMax > maxInForceSeconds {
+		breaches = append(breaches, Breach{
+			Promise: "an accepted configuration is in force everywhere within seconds",
+			Seen:    fmt.Sprintf("%.1f s", r.ConfigInForceSecondsMax),
+		})
+	}
+	if r.FlowsOpened == 0 || r.OrdersConfirmed == 0 {
+		breaches = append(breaches, Breach{
+			Promise: "the main job is done",
+			Seen:    fmt.Sprintf("%d flows opened, %d orders confirmed", r.FlowsOpened, r.OrdersConfirmed),
+		})
+	}
+	return breaches
+}
+
+// Write writes the report as a table.
+func (r *Report) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, value) }
+	row("site", r.Site)
+	row("seed", r.Seed)
+	row("instances started", r.Instances)
+	row("flows opened", r.FlowsOpened)
+	row("flows broken", r.FlowsBroken)
+	row("flows given up with their zone", r.FlowsGivenUpByZoneOut)
+	row("flows that could not be opened", r.FlowsNotOpened)
+	row("orders sent / confirmed", fmt.Sprintf("%d / %d", r.OrdersSent, r.OrdersConfirmed))
+	row("orders refused, not run", r.OrdersRefusedNotRun)
+	row("orders unknown", r.OrdersUnknown)
+	row("orders run twice", r.OrdersRunTwice)
+	row("false refusals", r.FalseRefusals)
+	row("answers crossed / truncated", fmt.Sprintf("%d / %d", r.AnswersCrossed, r.AnswersTruncated))
+	row("packets to a wrong service", r.PacketsToWrongService)
+	row("packets after zone out", r.PacketsAfterZoneOut)
+	row("work after leave", r.WorkAfterLeave)
+	row("cold overload", r.ColdOverload)
+	row("requests shed by endpoints", r.RequestsShed)
+	row("requests cut by a planned stop", r.RequestsCutByStop)
+	row("imbalance, max over mean flows", fmt.Sprintf("%.3f", r.ImbalanceMaxOverMean))
+	row("control bytes/s of an instance", fmt.Sprintf("%.0f mean, %.0f in the worst second", r.ControlBytesPerSecondMax, r.ControlBytesPeakSecond))
+	row("configuration in force within", fmt.Sprintf("%.2f s", r.ConfigInForceSecondsMax))
+	row("configuration reverts", r.ConfigReverts)
+	row("store calls in the worst second", r.StoreCallsPeakSecond)
+	row("dirty slots at the end", r.SlotsDirtyAtEnd)
+	row("elapsed", fmt.Sprintf("%.1f s", r.ElapsedSeconds))
+	return errors.Annotate(t.Flush(), "write report")
+}
+
+// WriteFile writes the report as JSON to the file at path.
+func (r *Report) WriteFile(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Annotate(err, "encode report")
+	}
+	return errors.Annotate(os.WriteFile(path, append(data, '\n'), 0o644), "write report")
+}
--- /dev/null
+++ b/internal/standin/segment.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/juju/errors"
+
+	"carawaycart"
+	"carawaycart/io/fabric"
+)
+
+// network is the Geneve network identifier of the stand-in fabric.
+const network = 7
+
+// Segment is a TCP segment of the stand-ins' flows.
+type Segment struct {
+	Source      netip.AddrPort
+	Destination netip.AddrPort
+	SYN         bool
+	ACK         bool
+	FIN         bool
+	RST         bool
+	Number      uint32 // of the data that it carries or acknowledges
+	Payload     []byte
+}
+
+// Encode returns the Geneve datagram that holds s.
+func (s *Segment) Encode() ([]byte, error) {
+	ip := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: s.Source.Addr().AsSlice(), DstIP: s.Destination.Addr().AsSlice(),
+	}
+	tcp := &layers.TCP{
+		SrcPort: layers.TCPPort(s.Source.Port()), DstPort: layers.TCPPort(s.Destination.Port()),
+		SYN: s.SYN, ACK: s.ACK, FIN: s.FIN, RST: s.RST, Seq: s.Number, Window: 65535,
+	}
+	if err := tcp.SetNetworkLayerForChecksum(ip); err != nil {
+		return nil, errors.Annotate(err, "encode segment")
+	}
+	b := gopacket.NewSerializeBuffer()
+	options := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(b, options, ip, tcp, gopacket.Payload(s.Payload)); err != nil {
+		return nil, errors.Annotate(err, "encode segment")
+	}
+	return fabric.Encode(b.Bytes(), network)
+}
+
+// segmentDecoder decodes segments; it is not safe for concurrent use.
+type segmentDecoder struct {
+	geneve layers.Geneve
+	ip     layers.IPv4
+	tcp    layers.TCP
+}
+
+func (d *segmentDecoder) decode(datagram []byte) (Segment, error) {
+	var s Segment
+	for _, layer := range []struct {
+		decoder gopacket.DecodingLayer
+		data    func() []byte
+	}{
+		{&d.geneve, func() []byte { return datagram }},
+		{&d.ip, func() []byte { return d.geneve.Payload }},
+		{&d.tcp, func() []byte { return d.ip.Payload }},
+	} {
+		if err := layer.decoder.DecodeFromBytes(layer.data(), gopacket.NilDecodeFeedback); err != nil {
+			return s, errors.Annotate(err, "decode segment")
+		}
+	}
+	source, _ := netip.AddrFromSlice(d.ip.SrcIP)
+	destination, _ := netip.AddrFromSlice(d.ip.DstIP)
+	s = Segment{
+		Source:      netip.AddrPortFrom(source, uint16(d.tcp.SrcPort)),
+		Destination: netip.AddrPortFrom(destination, uint16(d.tcp.DstPort)),
+		SYN:         d.tcp.SYN, ACK: d.tcp.ACK, FIN: d.tcp.FIN, RST: d.tcp.RST,
+		Number: d.tcp.Seq, Payload: d.tcp.Payload,
+	}
+	return s, nil
+}
+
+// reply is what an endpoint sends to a caller directly.
+type reply struct {
+	host   carawaycart.EndpointID
+	syn    bool
+	rst    bool
+	number uint32
+}
+
+// dataSegmentBytes is the payload of a feed's segment.
+const dataSegmentBytes = 64
+
+func dataPayload(number uint32) []byte {
+	b := make([]byte, dataSegmentBytes)
+	binary.BigEndian.PutUint32(b, number)
+	return b
+}
--- /dev/null
+++ b/internal/standin/site.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+)
+
+// Site describes one customer's installation at its size of today.
+type Site struct {
+	Name      string
+	Zones     []carawaycart.ZoneID
+	Instances int
+	Main      SiteService
+	Intake    SiteService
+}
+
+// SiteService describes one service of a site.
+type SiteService struct {
+	ID      carawaycart.ServiceID
+	Address netip.AddrPort
+	Hosts   int
+	Flows   int // connections that each host can hold
+	Slots   int
+}
+
+// Sites returns the installations of both customers.
+func Sites() []Site {
+	return []Site{
+		{
+			Name: "froepapir", Zones: []carawaycart.ZoneID{"bergen-a", "bergen-b", "voss", "stord"}, Instances: 16,
+			Main:   SiteService{ID: "pressdesk", Address: netip.MustParseAddrPort("192.0.2.1:443"), Hosts: 14, Flows: 4200, Slots: 2},
+			Intake: SiteService{ID: "artintake", Address: netip.MustParseAddrPort("192.0.2.2:443"), Hosts: 4, Flows: 4200, Slots: 2},
+		},
+		{
+			Name: "brunnhalder", Zones: []carawaycart.ZoneID{"ch-ost-a", "ch-ost-b", "ch-ost-c", "ch-ost-d"}, Instances: 16,
+			Main:   SiteService{ID: "werkstatt-board", Address: netip.MustParseAddrPort("192.0.2.1:443"), Hosts: 14, Flows: 4000, Slots: 2},
+			Intake: SiteService{ID: "hof-inspektion", Address: netip.MustParseAddrPort("192.0.2.2:443"), Hosts: 4, Flows: 4000, Slots: 2},
+		},
+	}
+}
+
+// SiteByName returns the named site; the error is NotFound.
+func SiteByName(name string) (Site, error) {
+	for _, s := range Sites() {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Site{}, errors.NotFoundf("site %q (want froepapir or brunnhalder)", name)
+}
+
+// HostName returns the name of host i of a service.
+func HostName(s carawaycart.ServiceID, i int) carawaycart.EndpointID {
+	return carawaycart.EndpointID(fmt.Sprintf("%s-%02d", s, i+1))
+}
+
+// InstanceName returns the name of instance i in a zone.
+func InstanceName(z carawaycart.ZoneID, i int) carawaycart.InstanceID {
+	return carawaycart.InstanceID(fmt.Sprintf("%s-lb%02d", z, i+1))
+}
