Mend lost flow records and a split start of the fleet

Cause: found from the demo's log of each broken flow. (1) The list lags, so every instance of a fresh fleet joined alone and kept every endpoint. (2) A replica that became keeper expired its records in the tick before it took over. (3) A record of an endpoint whose zone was out came back to life with the zone, because ended records lingered on replicas. (4) Zones taken out and planned leavers were counted as instances lost together. Ruled out: slot tables (equal on all instances), relay loops (none counted). Change: an instance waits until the list shows it; a replica holds records until its gate is open; records of endpoints that cannot hold flows are dropped at once, and at the end of a flow on replicas too; only failed instances count.

--- a/core/flow/records.go
+++ b/core/flow/records.go
@@ -75,6 +75,14 @@
 	return rec.Endpoint, true
 }
 
+// Forget drops the record of flow f.
+func (r *Records) Forget(f carawaycart.Fingerprint) {
+	s := r.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.records, f)
+}
+
 // Put takes in a record seen at now. Where one is held for the flow, the one of
 // the higher revision wins, and of one revision the earlier.
 func (r *Records) Put(f carawaycart.FlowRecord, now time.Time) {
@@ -95,11 +103,6 @@
 	return a.OpenedUnix < b.OpenedUnix
 }
 
-// End notes that flow f ended.
-func (r *Records) End(f carawaycart.Fingerprint, now time.Time) {
-	r.Owner(f, now, true)
-}
-
 // Len returns the number of records.
 func (r *Records) Len() int {
 	n := 0
@@ -112,7 +115,7 @@
 	return n
 }
 
-// Retention tells how long a record is held.
+// Retention tells how long a record is held; the zero value drops it at once.
 type Retention struct {
 	Idle  time.Duration // silence after which the flow counts as ended
 	Since time.Time     // silence before this does not count
@@ -137,6 +140,9 @@
 }
 
 func (r *record) expired(now time.Time, t Retention) bool {
+	if t == (Retention{}) {
+		return true
+	}
 	if r.ended {
 		return now.UnixNano()-r.seen >= int64(lingerPeriod)
 	}
--- a/core/flow/router.go
+++ b/core/flow/router.go
@@ -98,8 +98,11 @@
 	case !r.board.Awake(now):
 		return drop(carawaycart.CauseNotReady)
 	}
-	if owner, ok := r.records.Open(f, now); ok && view.Config.Holding(owner) {
-		return forward(owner)
+	if owner, ok := r.records.Open(f, now); ok {
+		if view.Config.Holding(owner) {
+			return forward(owner)
+		}
+		r.records.Forget(f)
 	}
 	gate := slot.Current.Gate()
 	if gate == nil {
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -160,6 +160,12 @@
 	return id
 }
 
+// HasAddress reports whether an instance of the view has peer address a.
+func (v *View) HasAddress(a netip.AddrPort) bool {
+	same := func(p Peer) bool { return p.Address == a }
+	return slices.ContainsFunc(v.ready, same) || slices.ContainsFunc(v.joining, same)
+}
+
 // Address returns the peer address of instance id in the view.
 func (v *View) Address(id carawaycart.InstanceID) (netip.AddrPort, bool) {
 	for _, peers := range [2][]Peer{v.ready, v.joining} {
--- a/internal/balancer/wire_gen.go
+++ b/internal/balancer/wire_gen.go
@@ -36,7 +36,7 @@
 	news := control.NewNews(board, table, spreader, configurer, countersCounters, k)
 	records := flow.NewRecords()
 	claimTable := claim.NewTable()
-	replicator := control.NewReplicator(board, records, claimTable, client, countersCounters, k)
+	replicator := control.NewReplicator(board, records, claimTable, table, client, countersCounters, k)
 	list := newPlatformList(s)
 	v := newSeeds(s)
 	membership := control.NewMembership(board, table, client, spreader, news, configurer, replicator, list, v, countersCounters, k)
--- a/internal/control/keeping.go
+++ b/internal/control/keeping.go
@@ -144,27 +144,14 @@
 func (ke *Keeping) expire(ctx context.Context, view *board.View, now time.Time) map[carawaycart.EndpointID]bool {
 	exceptions := make(map[carawaycart.EndpointID]bool)
 	members := ke.board.Members()
-	var ended []carawaycart.FlowRecord
 	expired := ke.records.Expire(nil, now, func(r *carawaycart.FlowRecord) flow.Retention {
-		route := view.ServiceByID(r.Service)
-		if route == nil {
-			return flow.Retention{}
-		}
-		t := route.Latest()
-		current := t.Slot(t.Index(r.Fingerprint)).Current
-		idle := route.Profile.FlowIdleSeconds.Duration()
-		if current == nil {
-			return flow.Retention{Idle: idle}
-		}
-		holders := current.Holders(members)
-		if holders.Keeper != ke.board.Self {
-			return flow.Retention{Idle: idle, Hold: holders.Contains(ke.board.Self)}
-		}
-		if r.Endpoint != current.ID {
+		current := currentOf(view, r)
+		if current != nil && current.ID != r.Endpoint && current.Gate() != nil {
 			exceptions[current.ID] = true
 		}
-		return flow.Retention{Idle: idle, Since: current.KeptSince()}
+		return retention(view, current, members, ke.board.Self, r)
 	})
+	var ended []carawaycart.FlowRecord
 	for _, r := range expired {
 		if h := holdersOf(view, members, &r); h != nil && h.Keeper == ke.board.Self {
 			ended = append(ended, r)
@@ -176,6 +163,22 @@
 	return exceptions
 }
 
+// retention returns how long instance self holds record r of a slot whose
+// current endpoint is given, nil if it has none.
+func retention(view *board.View, current *board.Entry, members *member.View, self carawaycart.InstanceID, r *carawaycart.FlowRecord) flow.Retention {
+	route := view.ServiceByID(r.Service)
+	if route == nil || current == nil || !view.Config.Holding(r.Endpoint) {
+		return flow.Retention{}
+	}
+	idle := route.Profile.FlowIdleSeconds.Duration()
+	holders := current.Holders(members)
+	if holders.Keeper != self || current.Gate() == nil {
+		// A replica sees no packets, nor does a keeper before it takes over.
+		return flow.Retention{Idle: idle, Hold: holders.Contains(self)}
+	}
+	return flow.Retention{Idle: idle, Since: current.KeptSince()}
+}
+
 func (ke *Keeping) publish(view *board.View) {
 	dirty := 0
 	for _, r := range view.Services() {
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -22,6 +22,8 @@
 	awakePeriod   = time.Second             // a longer pause may have cost the instance its duties
 	joinPeriod    = 1200 * time.Millisecond // until peers replicate to a joining instance
 	joinRetry     = 300 * time.Millisecond
+	listPeriod    = 20 * time.Second // between looks at the list once joined
+	listPatience  = 10 * time.Second // for a list that does not show the instance yet
 	leaveGrace    = 500 * time.Millisecond // until peers know that the instance left
 	listCallLimit = 2 * time.Second
 )
@@ -40,11 +42,12 @@
 	counters   *counters.Counters
 	clock      carawaycart.Clock
 
-	seeds   []netip.AddrPort
-	next    int
-	last    time.Time
-	joining atomic.Bool
-	loop    *loop
+	seeds    []netip.AddrPort
+	next     int
+	last     time.Time
+	patience time.Time // when an instance joins although the list does not show it
+	joining  atomic.Bool
+	loop     *loop
 }
 
 // NewMembership returns a running membership controller whose instance is
@@ -54,13 +57,14 @@
 ) *Membership {
 	m := &Membership{
 		board: b, table: t, client: p, spreader: s, news: n, configurer: f, replicator: r,
-		list: l, seeds: seeds, counters: c, clock: k, last: k.Now(),
+		list: l, seeds: seeds, counters: c, clock: k, last: k.Now(), patience: k.Now().Add(listPatience),
 	}
 	m.joining.Store(true)
 	b.SetMembers(t.Members())
 	m.loop = newLoop(
 		func(ctx context.Context) { every(ctx, tickPeriod, m.tick) },
 		func(ctx context.Context) { every(ctx, probePeriod, func() { m.probe(ctx) }) },
+		func(ctx context.Context) { every(ctx, listPeriod, func() { m.greet(ctx) }) },
 		m.join,
 	)
 	return m
@@ -150,7 +154,9 @@
 // joinOnce fetches members, configuration, records and claims, and reports
 // whether the instance may take up duties.
 func (m *Membership) joinOnce(ctx context.Context) bool {
-	m.greet(ctx)
+	if !m.greet(ctx) && m.clock.Now().Before(m.patience) {
+		return false
+	}
 	m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision())})
 	if m.board.View() == nil {
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -167,19 +173,15 @@
 	return ctx.Err() == nil
 }
 
-// greet exchanges news with the seeds and the listed instances.
-func (m *Membership) greet(ctx context.Context) {
-	addresses := append([]netip.AddrPort(nil), m.seeds...)
-	call, cancel := context.WithTimeout(ctx, listCallLimit)
-	defer cancel()
-	if listed, err := m.list.Instances(call); err == nil {
-		for _, i := range listed {
-			addresses = append(addresses, i.PeerAddress)
-		}
-	}
-	self := m.table.Self().PeerAddress
-	for _, a := range addresses {
-		if a == self {
+// greet exchanges news with the seeds and the listed instances that the
+// instance does not know. It reports whether the list shows the instance
+// itself, and therefore also those that were started before.
+func (m *Membership) greet(ctx context.Context) bool {
+	self := m.table.Self()
+	listed, shown := m.listed(ctx, self.ID)
+	known := m.board.Members()
+	for _, a := range append(listed, m.seeds...) {
+		if a == self.PeerAddress || known.HasAddress(a) {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -190,6 +192,25 @@
 		cancel()
 	}
 	m.board.SetMembers(m.table.Members())
+	return shown
+}
+
+// listed returns the addresses of the listed instances and whether id is listed.
+func (m *Membership) listed(ctx context.Context, id carawaycart.InstanceID) ([]netip.AddrPort, bool) {
+	ctx, cancel := context.WithTimeout(ctx, listCallLimit)
+	defer cancel()
+	instances, err := m.list.Instances(ctx)
+	if err != nil {
+		klog.V(1).InfoS("no instance list", "instance", id, "err", err)
+		return nil, false
+	}
+	var addresses []netip.AddrPort
+	shown := false
+	for _, i := range instances {
+		addresses = append(addresses, i.PeerAddress)
+		shown = shown || i.ID == id
+	}
+	return addresses, shown
 }
 
 // pull fetches from every ready peer what request asks for.
--- a/internal/control/replicator.go
+++ b/internal/control/replicator.go
@@ -32,6 +32,7 @@
 	board    *board.Board
 	records  *flow.Records
 	claims   *claim.Table
+	table    *member.Table
 	client   *peer.Client
 	counters *counters.Counters
 	clock    carawaycart.Clock
@@ -60,9 +61,11 @@
 }
 
 // NewReplicator returns a running replicator.
-func NewReplicator(b *board.Board, r *flow.Records, a *claim.Table, p *peer.Client, c *counters.Counters, k carawaycart.Clock) *Replicator {
+func NewReplicator(b *board.Board, r *flow.Records, a *claim.Table, t *member.Table, p *peer.Client,
+	c *counters.Counters, k carawaycart.Clock,
+) *Replicator {
 	re := &Replicator{
-		board: b, records: r, claims: a, client: p, counters: c, clock: k,
+		board: b, records: r, claims: a, table: t, client: p, counters: c, clock: k,
 		wake: make(chan struct{}, 1), members: b.Members(),
 	}
 	re.loop = newLoop(
@@ -191,7 +194,7 @@
 		re.records.Put(r, now)
 	}
 	for _, f := range ended {
-		re.records.End(f, now)
+		re.records.Forget(f)
 	}
 }
 
@@ -238,9 +241,10 @@
 		re.history = re.history[1:]
 	}
 	before := re.history[0].view
+	failed := re.failed()
 	var lost []carawaycart.InstanceID
 	for _, p := range before.Ready() {
-		if _, ok := members.Address(p.ID); !ok {
+		if failed[p.ID] {
 			lost = append(lost, p.ID)
 		}
 	}
@@ -251,6 +255,15 @@
 	re.claims.NoteLoss(before, lost, now.Add(uncertainty))
 }
 
+// failed returns the instances that are gone without having handed over.
+func (re *Replicator) failed() map[carawaycart.InstanceID]bool {
+	failed := make(map[carawaycart.InstanceID]bool)
+	for _, m := range re.table.Members() {
+		failed[m.ID] = m.State == carawaycart.MemberSuspect || m.State == carawaycart.MemberDead
+	}
+	return failed
+}
+
 func (re *Replicator) repairClaims(ctx context.Context, old, now *member.View) {
 	batches := make(map[carawaycart.InstanceID]*message.ClaimBatch)
 	for _, c := range re.claims.Append(nil, func(*carawaycart.Claim) bool { return true }) {
@@ -305,14 +318,20 @@
 
 // holdersOf returns the holders of record r under the latest table of its service.
 func holdersOf(view *board.View, members *member.View, r *carawaycart.FlowRecord) *member.Holders {
+	current := currentOf(view, r)
+	if current == nil {
+		return nil
+	}
+	return current.Holders(members)
+}
+
+// currentOf returns the current endpoint of record r's slot under the latest
+// table of its service, or nil.
+func currentOf(view *board.View, r *carawaycart.FlowRecord) *board.Entry {
 	route := view.ServiceByID(r.Service)
 	if route == nil {
 		return nil
 	}
 	t := route.Latest()
-	current := t.Slot(t.Index(r.Fingerprint)).Current
-	if current == nil {
-		return nil
-	}
-	return current.Holders(members)
+	return t.Slot(t.Index(r.Fingerprint)).Current
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -92,7 +92,9 @@
 }
 
 func (d *Demo) say(format string, args ...any) {
-	_, _ = fmt.Fprintf(d.options.Progress, "%5.1fs  %s\n", time.Since(d.start).Seconds(), fmt.Sprintf(format, args...))
+	t := d.fleet.Ledger.Totals()
+	_, _ = fmt.Fprintf(d.options.Progress, "%5.1fs  %s [%d flows, %d broken, %d orders, %d confirmed]\n",
+		time.Since(d.start).Seconds(), fmt.Sprintf(format, args...), t.FlowsOpened, t.FlowsBroken, t.OrdersSent, t.OrdersConfirmed)
 }
 
 // setUp writes the configuration and starts hosts and instances.
--- a/internal/standin/flowcaller.go
+++ b/internal/standin/flowcaller.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"carawaycart"
 )
 
@@ -98,6 +100,7 @@
 		s := Segment{ACK: true, Number: number, Payload: dataPayload(number)}
 		r, ok := c.exchange(context.WithoutCancel(ctx), s, func(r reply) bool { return r.number == number })
 		if !ok || r.host != host {
+			klog.V(1).InfoS("flow broken", "caller", c.config.Caller, "host", host, "answered", r.host, "reset", r.rst, "number", number)
 			return false
 		}
 	}
