Log membership changes; count idle time anew when a slot moves

Cause: a replica that became keeper because a slot moved, not because its keeper died, expired records that it had received more than the idle limit ago. Change: idle time counts from the arrival of the slot table at the earliest.

--- a/core/board/route.go
+++ b/core/board/route.go
@@ -35,6 +35,9 @@
 	return Slot{Base: t.entry(t.slots.Base[i]), Current: t.entry(t.slots.Current[i])}
 }
 
+// Since returns when the table arrived.
+func (t *Table) Since() time.Time { return t.since }
+
 // Entries returns the entries of the endpoints that own or take flows; the
 // slice must not be modified.
 func (t *Table) Entries() []*Entry { return t.entries }
--- a/internal/control/keeping.go
+++ b/internal/control/keeping.go
@@ -176,7 +176,12 @@
 		// A replica sees no packets, nor does a keeper before it takes over.
 		return flow.Retention{Idle: idle, Hold: holders.Contains(self)}
 	}
-	return flow.Retention{Idle: idle, Since: current.KeptSince()}
+	// The slot may have come to this keeper with its endpoint or with its table.
+	since := current.KeptSince()
+	if moved := route.Latest().Since(); moved.After(since) {
+		since = moved
+	}
+	return flow.Retention{Idle: idle, Since: since}
 }
 
 func (ke *Keeping) publish(view *board.View) {
--- a/internal/control/replicator.go
+++ b/internal/control/replicator.go
@@ -177,6 +177,7 @@
 		cancel()
 		if err != nil {
 			re.counters.RecordsLost.Inc(int64(n))
+			klog.V(1).InfoS("records not copied", "instance", re.board.Self, "peer", id, "records", n, "err", err)
 		}
 		records = records[n:]
 	}
--- a/internal/control/spreader.go
+++ b/internal/control/spreader.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"carawaycart"
 	"carawaycart/core/board"
 	"carawaycart/core/member"
@@ -91,6 +93,7 @@
 	members := s.table.TakeNews()
 	if len(members) > 0 {
 		s.board.SetMembers(s.table.Members())
+		s.log(members)
 	}
 	s.mu.Lock()
 	statuses, changes := s.statuses, s.changes
@@ -105,6 +108,12 @@
 	}
 }
 
+func (s *Spreader) log(members []carawaycart.Member) {
+	for _, m := range members {
+		klog.V(1).InfoS("member changed state", "instance", s.board.Self, "member", m.ID, "state", m.State, "incarnation", m.Incarnation)
+	}
+}
+
 // send passes news to a neighbour; what is lost is made up for by the next
 // probe, whose digests differ.
 func (s *Spreader) send(ctx context.Context, n member.Peer, news *message.Exchange) {
