Keep an inherited guard until the new keeper has looked for exceptions

Cause: a slot can be clean by its table while flows of it live elsewhere, which the guard of its endpoint covers. A new keeper inherited the guard without an earliest end and dropped it before its first look at its records, so forwarders sent those flows to the base. Ruled out by a trace of one flow: lost records (the replica held it), false suspicion (none logged), relays to a non-holder. Change: an inherited guard lasts at least as long as a new one.

--- a/core/limit/gate.go
+++ b/core/limit/gate.go
@@ -62,7 +62,9 @@
 		}
 	}
 	if g.guarded {
+		// The new keeper has yet to look for flows that live elsewhere.
 		g.spillFrom = now.Add(spreadPeriod)
+		g.guardedUntil = now.Add(2 * spreadPeriod)
 	}
 	return g
 }
