Hold records while tables move, let returning zones catch up, mark drained endpoints

Cause: three more causes of broken flows, each found from the log of one broken flow. (1) A replica dropped records by the latest table while packets still followed the one before. (2) When a zone came back its instances became keepers at once, without records. (3) An endpoint without slots was marked ended although keepers elsewhere had records of flows to it, and the mark ends those. Change: nothing expires while tables move; instances of a zone that is back only hold replicas for 2 s; an endpoint without slots is drained, and ended only past its deadline. Settlements of one instance share one change, made from the configuration it holds.

--- a/config.go
+++ b/config.go
@@ -45,7 +45,8 @@
 const (
 	MarkNone    EndpointMark = ""
 	MarkLeaving EndpointMark = "leaving" // takes no new work, keeps its flows
-	MarkEnded   EndpointMark = "ended"   // has no flows left
+	MarkDrained EndpointMark = "drained" // owns no slots; recorded flows may go on
+	MarkEnded   EndpointMark = "ended"   // past its drain deadline; its flows are given up
 )
 
 // Endpoint is one host of a service.
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -16,6 +16,7 @@
 const (
 	activatePeriod = time.Second     // until every instance has a revision
 	stablePeriod   = 2 * time.Second // until every instance follows its tables
+	returnPeriod   = 2 * time.Second // until the instances of a zone that is back hold what they will keep
 	entryShards    = 64
 )
 
@@ -43,9 +44,10 @@
 	members atomic.Pointer[member.View]
 	awake   atomic.Int64 // Unix nanoseconds until which the instance may decide
 
-	mu     sync.Mutex // guards updates of view and members
-	latest []carawaycart.Member
-	shards [entryShards]entryShard
+	mu       sync.Mutex // guards updates of view and members
+	latest   []carawaycart.Member
+	returned map[carawaycart.ZoneID]time.Time // until when zones that are back only hold replicas
+	shards   [entryShards]entryShard
 }
 
 type entryShard struct {
@@ -55,11 +57,11 @@
 
 // New returns the board of instance self, without configuration or members.
 func New(self carawaycart.InstanceID) *Board {
-	b := &Board{Self: self}
+	b := &Board{Self: self, returned: make(map[carawaycart.ZoneID]time.Time)}
 	for i := range b.shards {
 		b.shards[i].entries = make(map[carawaycart.EndpointID]*Entry)
 	}
-	b.members.Store(member.NewView(nil, func(carawaycart.ZoneID) bool { return false }))
+	b.rebuildMembers()
 	return b
 }
 
@@ -127,13 +129,48 @@
 	b.rebuildMembers()
 }
 
-// rebuildMembers leaves out the instances of zones that are taken out.
+// rebuildMembers gives no duties to the instances of zones that are out, and
+// lets those of zones that came back receive replicas first.
 func (b *Board) rebuildMembers() {
 	zones := map[carawaycart.ZoneID]carawaycart.Zone{}
 	if v := b.View(); v != nil {
 		zones = v.Config.Zones
 	}
-	b.members.Store(member.NewView(b.latest, func(z carawaycart.ZoneID) bool { return zones[z].Out }))
+	b.members.Store(member.NewView(b.latest, func(z carawaycart.ZoneID) member.Duty {
+		if zones[z].Out {
+			return member.DutyNone
+		}
+		if _, ok := b.returned[z]; ok {
+			return member.DutyReplica
+		}
+		return member.DutyFull
+	}))
+}
+
+// noteReturns notes the zones that c brings back at now.
+func (b *Board) noteReturns(old *View, c *config.Configuration, now time.Time) {
+	if old == nil {
+		return
+	}
+	for id, z := range c.Zones {
+		if old.Config.Zones[id].Out && !z.Out {
+			b.returned[id] = now.Add(returnPeriod)
+		}
+	}
+}
+
+// endReturns gives duties to zones that have been back for long enough.
+func (b *Board) endReturns(now time.Time) {
+	ended := false
+	for id, deadline := range b.returned {
+		if !now.Before(deadline) {
+			delete(b.returned, id)
+			ended = true
+		}
+	}
+	if ended {
+		b.rebuildMembers()
+	}
 }
 
 // SetConfig takes in a configuration that arrived at now and reports whether it
@@ -149,6 +186,7 @@
 		e := c.Endpoints[id]
 		b.Entry(id).endpoint.Store(&e)
 	}
+	b.noteReturns(old, c, now)
 	b.rebuild(old, c, now)
 	b.rebuildMembers()
 	return true
@@ -158,6 +196,7 @@
 func (b *Board) Tick(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.endReturns(now)
 	v := b.View()
 	if v == nil {
 		return
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -23,8 +23,15 @@
 	members   map[carawaycart.ServiceID][]carawaycart.EndpointID // endpoints of each service, sorted
 }
 
-// Settlement is the After value of a change of kind settle.
+// Settlement is the After value of a change of kind settle: bases without flows
+// that give way to the current endpoints of their slots.
 type Settlement struct {
+	Moves []Move `json:"moves"`
+}
+
+// Move lets the given slots take current as their base, as far as their base
+// and current endpoints are still the stated ones.
+type Move struct {
 	Base    carawaycart.EndpointID  `json:"base"`
 	Current carawaycart.EndpointID  `json:"current"`
 	Slots   []carawaycart.SlotIndex `json:"slots"`
@@ -328,7 +335,10 @@
 		return errors.NotFoundf("service %s", id)
 	}
 	c.Slots = maps.Clone(c.Slots)
-	c.Slots[id] = slot.Settle(t, s.Base, s.Current, s.Slots)
+	for _, m := range s.Moves {
+		t = slot.Settle(t, m.Base, m.Current, m.Slots)
+	}
+	c.Slots[id] = t
 	return nil
 }
 
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -108,7 +108,7 @@
 		return errors.NotValidf("endpoint %s: change of service from %s to %s", e.ID, old.Service, e.Service)
 	}
 	switch e.Mark {
-	case carawaycart.MarkNone, carawaycart.MarkLeaving, carawaycart.MarkEnded:
+	case carawaycart.MarkNone, carawaycart.MarkLeaving, carawaycart.MarkDrained, carawaycart.MarkEnded:
 	default:
 		return errors.NotValidf("endpoint %s: mark %q", e.ID, e.Mark)
 	}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -46,27 +46,39 @@
 	h.Count++
 }
 
-// NewView returns the view of members that are ready or joining and whose zone
-// is not excluded. If the exclusion would leave no ready member it is ignored.
-func NewView(members []carawaycart.Member, excluded func(carawaycart.ZoneID) bool) *View {
-	v := newView(members, excluded)
+// Duty tells what the instances of a zone may hold.
+type Duty uint8
+
+// The duties.
+const (
+	DutyFull    Duty = iota // decide and hold replicas
+	DutyReplica             // hold replicas only
+	DutyNone                // neither
+)
+
+// NewView returns the view of the members that are ready or joining, each with
+// no more than its zone's duty. If that leaves nobody to decide, the zones'
+// duties are ignored.
+func NewView(members []carawaycart.Member, duty func(carawaycart.ZoneID) Duty) *View {
+	v := newView(members, duty)
 	if len(v.ready) == 0 {
-		v = newView(members, func(carawaycart.ZoneID) bool { return false })
+		v = newView(members, func(carawaycart.ZoneID) Duty { return DutyFull })
 	}
 	return v
 }
 
-func newView(members []carawaycart.Member, excluded func(carawaycart.ZoneID) bool) *View {
+func newView(members []carawaycart.Member, duty func(carawaycart.ZoneID) Duty) *View {
 	v := &View{}
 	for _, m := range members {
-		if excluded(m.Zone) {
+		d := duty(m.Zone)
+		alive := m.State == carawaycart.MemberReady || m.State == carawaycart.MemberJoining
+		if d == DutyNone || !alive {
 			continue
 		}
 		p := Peer{ID: m.ID, Zone: m.Zone, Address: m.PeerAddress, name: rendezvous.NewName(string(m.ID))}
-		switch m.State {
-		case carawaycart.MemberReady:
+		if d == DutyFull && m.State == carawaycart.MemberReady {
 			v.ready = append(v.ready, p)
-		case carawaycart.MemberJoining:
+		} else {
 			v.joining = append(v.joining, p)
 		}
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -28,6 +28,7 @@
 	Membership *control.Membership
 	Configurer *control.Configurer
 	Keeping    *control.Keeping
+	Settler    *control.Settler
 	Replicator *control.Replicator
 	Spreader   *control.Spreader
 	Orders     *control.Orders
@@ -141,6 +142,7 @@
 func (l *Balancer) close() {
 	l.controllers.Membership.Close()
 	l.controllers.Keeping.Close()
+	l.controllers.Settler.Close()
 	l.controllers.Configurer.Close()
 	l.controllers.Replicator.Close()
 	l.controllers.Orders.Close()
--- a/internal/balancer/wire.go
+++ b/internal/balancer/wire.go
@@ -28,7 +28,7 @@
 		wire.Bind(new(carawaycart.InstanceList), new(*platform.List)),
 		platform.NewChangeLog,
 		control.NewSpreader, control.NewConfigurer, control.NewNews, control.NewReplicator, control.NewMembership,
-		control.NewKeeping, control.NewOrders, control.NewPermits, control.NewSender, control.NewDispatcher,
+		control.NewKeeping, control.NewSettler, control.NewOrders, control.NewPermits, control.NewSender, control.NewDispatcher,
 		control.NewPackets, control.NewPeers, control.NewExplainer,
 		wire.Struct(new(Controllers), "*"),
 		newBalancer,
--- a/internal/balancer/wire_gen.go
+++ b/internal/balancer/wire_gen.go
@@ -40,7 +40,8 @@
 	list := newPlatformList(s)
 	v := newSeeds(s)
 	membership := control.NewMembership(board, table, client, spreader, news, configurer, replicator, list, v, countersCounters, k)
-	keeping := control.NewKeeping(board, table, records, replicator, spreader, endpointClient, changeLog, countersCounters, k)
+	keeping := control.NewKeeping(board, table, records, replicator, spreader, endpointClient, countersCounters, k)
+	settler := control.NewSettler(board, table, changeLog, k)
 	orders := control.NewOrders(board, table, claimTable, client, countersCounters, k)
 	permits := control.NewPermits(board, client, k)
 	peers := control.NewPeers(board, news, spreader, configurer, replicator, orders, permits, records, claimTable, countersCounters)
@@ -53,6 +54,7 @@
 		Membership: membership,
 		Configurer: configurer,
 		Keeping:    keeping,
+		Settler:    settler,
 		Replicator: replicator,
 		Spreader:   spreader,
 		Orders:     orders,
--- a/internal/control/keeping.go
+++ b/internal/control/keeping.go
@@ -2,34 +2,28 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
 	"k8s.io/klog/v2"
 
 	"carawaycart"
 	"carawaycart/core/board"
-	"carawaycart/core/config"
 	"carawaycart/core/flow"
 	"carawaycart/core/limit"
 	"carawaycart/core/member"
 	"carawaycart/internal/counters"
 	"carawaycart/io/endpoint"
-	"carawaycart/io/platform"
 )
 
 const (
 	keepPeriod    = 200 * time.Millisecond
 	reportPeriod  = 500 * time.Millisecond
 	reportTimeout = 400 * time.Millisecond
-	settlePeriod  = 2 * time.Second
-	appendTimeout = 5 * time.Second
 )
 
 // Keeping judges the endpoints that the instance is keeper of: it fetches their
-// reports, states their status, and ends what has drained.
+// reports and states their status.
 type Keeping struct {
 	board      *board.Board
 	table      *member.Table
@@ -37,7 +31,6 @@
 	replicator *Replicator
 	spreader   *Spreader
 	reporter   carawaycart.Reporter
-	log        *platform.ChangeLog
 	counters   *counters.Counters
 	clock      carawaycart.Clock
 
@@ -49,15 +42,14 @@
 
 // NewKeeping returns a running controller.
 func NewKeeping(b *board.Board, t *member.Table, r *flow.Records, re *Replicator, s *Spreader, p carawaycart.Reporter,
-	l *platform.ChangeLog, c *counters.Counters, k carawaycart.Clock,
+	c *counters.Counters, k carawaycart.Clock,
 ) *Keeping {
 	ke := &Keeping{
-		board: b, table: t, records: r, replicator: re, spreader: s, reporter: p, log: l, counters: c, clock: k,
+		board: b, table: t, records: r, replicator: re, spreader: s, reporter: p, counters: c, clock: k,
 		polling: make(map[carawaycart.EndpointID]time.Time),
 	}
 	ke.loop = newLoop(
 		func(ctx context.Context) { every(ctx, keepPeriod, func() { ke.keep(ctx) }) },
-		func(ctx context.Context) { every(ctx, settlePeriod, func() { ke.settle(ctx) }) },
 	)
 	return ke
 }
@@ -171,6 +163,10 @@
 		return flow.Retention{}
 	}
 	idle := route.Profile.FlowIdleSeconds.Duration()
+	if len(route.Recent) > 1 {
+		// Packets may follow an older table, to keepers that this one does not name.
+		return flow.Retention{Idle: idle, Hold: true}
+	}
 	holders := current.Holders(members)
 	if holders.Keeper != self || current.Gate() == nil {
 		// A replica sees no packets, nor does a keeper before it takes over.
@@ -193,106 +189,3 @@
 	ke.counters.Records.Update(int64(ke.records.Len()))
 	ke.counters.MembersReady.Update(int64(len(ke.board.Members().Ready())))
 }
-
-// settle proposes that bases without flows give way, and that leaving endpoints
-// without slots, or past their deadline, end.
-func (ke *Keeping) settle(ctx context.Context) {
-	view := ke.board.View()
-	if view == nil || ke.table.Self().State != carawaycart.MemberReady {
-		return
-	}
-	now := ke.clock.Now()
-	for id, r := range view.Services() {
-		for _, s := range ke.settled(r, now) {
-			ke.append(ctx, carawaycart.KindSettle, string(id), replaceBy(s))
-		}
-	}
-	for id, e := range view.Config.Endpoints {
-		entry := ke.board.Entry(id)
-		if e.Mark == carawaycart.MarkLeaving && ke.keeps(entry) && ke.drained(view, entry, now) {
-			ke.append(ctx, carawaycart.KindEndpoint, string(id), endLeaving)
-		}
-	}
-}
-
-// settled returns, for each pair of base and current endpoint that the instance
-// decides for, the dirty slots whose base got no packet for the idle limit.
-func (ke *Keeping) settled(r *board.ServiceRoute, now time.Time) []config.Settlement {
-	type pair struct{ base, current *board.Entry }
-	found := make(map[pair]*config.Settlement)
-	var settlements []config.Settlement
-	idle := r.Profile.FlowIdleSeconds.Duration()
-	t := r.Latest()
-	if len(r.Recent) > 1 || t.Dirty() == 0 {
-		return nil
-	}
-	for i := range t.Len() {
-		index := carawaycart.SlotIndex(i)
-		s := t.Slot(index)
-		if s.Base == s.Current || s.Base == nil || s.Current == nil || !ke.keeps(s.Current) || s.Current.Gate() == nil {
-			continue
-		}
-		if now.Sub(r.BaseSeen(index)) < idle || now.Sub(s.Current.KeptSince()) < idle {
-			continue
-		}
-		p := pair{s.Base, s.Current}
-		if found[p] == nil {
-			found[p] = &config.Settlement{Base: s.Base.ID, Current: s.Current.ID}
-		}
-		found[p].Slots = append(found[p].Slots, index)
-	}
-	for _, s := range found {
-		settlements = append(settlements, *s)
-	}
-	return settlements
-}
-
-func (ke *Keeping) drained(view *board.View, e *board.Entry, now time.Time) bool {
-	configured := view.Config.Endpoints[e.ID]
-	if deadline := configured.DrainDeadline; !deadline.IsZero() && !now.Before(deadline) {
-		return true
-	}
-	r := view.ServiceByID(configured.Service)
-	if r == nil || len(r.Recent) > 1 {
-		return false
-	}
-	for _, owner := range r.Latest().Entries() {
-		if owner == e {
-			return false
-		}
-	}
-	return len(ke.records.Append(nil, func(r *carawaycart.FlowRecord) bool { return r.Endpoint == e.ID })) == 0
-}
-
-// update computes the new object of a change from the present one.
-type update func(present json.RawMessage) (json.RawMessage, error)
-
-func replaceBy(object any) update {
-	return func(json.RawMessage) (json.RawMessage, error) { return json.Marshal(object) }
-}
-
-// endLeaving marks an endpoint as ended unless operators have let it stay.
-func endLeaving(present json.RawMessage) (json.RawMessage, error) {
-	var e carawaycart.Endpoint
-	if err := config.DecodeStrict(present, &e); err != nil {
-		return nil, err
-	}
-	if e.Mark != carawaycart.MarkLeaving {
-		return nil, errors.NotValidf("end of endpoint %s, which is not leaving", e.ID)
-	}
-	e.Mark = carawaycart.MarkEnded
-	return json.Marshal(e)
-}
-
-// append writes a change in the instance's own name; if the store is down the
-// next round tries again.
-func (ke *Keeping) append(ctx context.Context, kind carawaycart.ObjectKind, name string, u update) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := ke.log.Append(ctx, platform.Edit{
-		Operator: carawaycart.OperatorName("instance/" + string(ke.board.Self)), Kind: kind, Name: name, Update: u,
-	})
-	if err != nil {
-		klog.V(1).InfoS("own change not accepted", "instance", ke.board.Self, "kind", kind, "name", name, "err", err)
-	}
-}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -22,8 +22,8 @@
 	awakePeriod   = time.Second             // a longer pause may have cost the instance its duties
 	joinPeriod    = 1200 * time.Millisecond // until peers replicate to a joining instance
 	joinRetry     = 300 * time.Millisecond
-	listPeriod    = 20 * time.Second // between looks at the list once joined
-	listPatience  = 10 * time.Second // for a list that does not show the instance yet
+	listPeriod    = 20 * time.Second       // between looks at the list once joined
+	listPatience  = 10 * time.Second       // for a list that does not show the instance yet
 	leaveGrace    = 500 * time.Millisecond // until peers know that the instance left
 	listCallLimit = 2 * time.Second
 )
--- a/io/platform/changelog.go
+++ b/io/platform/changelog.go
@@ -150,6 +150,12 @@
 	if err != nil {
 		return carawaycart.Change{}, err
 	}
+	return l.AppendAfter(ctx, c, edit)
+}
+
+// AppendAfter is like Append for a caller that holds configuration c, which may
+// be older than the latest.
+func (l *ChangeLog) AppendAfter(ctx context.Context, c *config.Configuration, edit Edit) (carawaycart.Change, error) {
 	change, err := l.change(c, edit)
 	if err != nil {
 		return carawaycart.Change{}, err
