Send news once, and whole state only on a lasting difference

By call, Exchange carried 1.99 MB of 2.7 MB of control: every answer to news held all members and statuses, because digests differ while news is on its way, and news went back to the peer that told it. Change: news carries no digests and is answered by an empty message; whole state is sent only if asked for, after two probes in a row that differ; a joining instance takes the fleet's state from two peers; probes every 400 ms; the demo measures from the load's start.

--- a/core/member/view.go
+++ b/core/member/view.go
@@ -92,6 +92,9 @@
 // modified.
 func (v *View) Ready() []Peer { return v.ready }
 
+// Len returns the number of instances in the view.
+func (v *View) Len() int { return len(v.ready) + len(v.joining) }
+
 // Zones returns how many zones have a ready instance.
 func (v *View) Zones() int {
 	zones := make(map[carawaycart.ZoneID]struct{})
--- a/internal/control/configurer.go
+++ b/internal/control/configurer.go
@@ -92,7 +92,7 @@
 	defer cancel()
 	change, err := f.log.Await(ctx, f.board.Revision()+1)
 	if err == nil {
-		f.Offer(change, f.clock.Now())
+		f.Offer(change, "", f.clock.Now())
 		return true
 	}
 	return errors.Is(err, errors.NotFound)
@@ -115,9 +115,10 @@
 	f.counters.Revision.Update(int64(c.Revision))
 }
 
-// Offer takes in a change that arrived at now. Changes ahead of their turn are
+// Offer takes in a change that arrived at now, told by peer from, or empty if it
+// came from the store. Changes ahead of their turn are
 // held back; ones already applied are ignored.
-func (f *Configurer) Offer(change carawaycart.Change, now time.Time) {
+func (f *Configurer) Offer(change carawaycart.Change, from carawaycart.InstanceID, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.current == nil || change.Revision <= f.current.Revision || len(f.pending) >= keptChanges {
@@ -143,7 +144,7 @@
 		}
 		klog.V(1).InfoS("change applied", "instance", f.board.Self, "revision", next.Revision,
 			"kind", next.Kind, "name", next.Name, "operator", next.Operator)
-		f.spreader.Change(next)
+		f.spreader.Change(next, from)
 	}
 }
 
@@ -171,11 +172,11 @@
 	if err := f.client.Call(ctx, m.PeerAddress, "Pull", request, reply); err != nil {
 		return err
 	}
-	return f.TakeIn(reply)
+	return f.TakeIn(reply, m.ID)
 }
 
-// TakeIn applies the configuration of a pull.
-func (f *Configurer) TakeIn(reply *message.PullReply) error {
+// TakeIn applies the configuration of a pull from peer from.
+func (f *Configurer) TakeIn(reply *message.PullReply, from carawaycart.InstanceID) error {
 	now := f.clock.Now()
 	if len(reply.GetSnapshot()) > 0 {
 		c, err := config.Decode(reply.GetSnapshot())
@@ -189,7 +190,7 @@
 		if err := config.DecodeStrict(data, &c); err != nil {
 			return errors.Annotate(err, "change from peer")
 		}
-		f.Offer(c, now)
+		f.Offer(c, from, now)
 	}
 	return nil
 }
--- a/internal/control/keeping.go
+++ b/internal/control/keeping.go
@@ -103,7 +103,7 @@
 	if !changed {
 		return
 	}
-	ke.spreader.Status(status)
+	ke.spreader.Status(status, "")
 	if before != state {
 		klog.InfoS("endpoint changed state", "instance", ke.board.Self, "endpoint", e.ID, "before", before, "after", state)
 	}
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -18,7 +19,7 @@
 
 const (
 	tickPeriod    = 100 * time.Millisecond
-	probePeriod   = 250 * time.Millisecond
+	probePeriod   = 400 * time.Millisecond
 	awakePeriod   = time.Second             // a longer pause may have cost the instance its duties
 	joinPeriod    = 1200 * time.Millisecond // until peers replicate to a joining instance
 	joinRetry     = 300 * time.Millisecond
@@ -26,6 +27,7 @@
 	listPatience  = 10 * time.Second       // for a list that does not show the instance yet
 	leaveGrace    = 500 * time.Millisecond // until peers know that the instance left
 	listCallLimit = 2 * time.Second
+	pullSources   = 2 // peers asked for configuration and fleet
 )
 
 // Membership probes neighbours, and lets the instance join the fleet, join it
@@ -42,6 +44,8 @@
 	counters   *counters.Counters
 	clock      carawaycart.Clock
 
+	differences *differences
+
 	seeds    []netip.AddrPort
 	next     int
 	last     time.Time
@@ -58,6 +62,7 @@
 	m := &Membership{
 		board: b, table: t, client: p, spreader: s, news: n, configurer: f, replicator: r,
 		list: l, seeds: seeds, counters: c, clock: k, last: k.Now(), patience: k.Now().Add(listPatience),
+		differences: newDifferences(),
 	}
 	m.joining.Store(true)
 	b.SetMembers(t.Members())
@@ -111,8 +116,10 @@
 func (m *Membership) exchange(ctx context.Context, id carawaycart.InstanceID, address netip.AddrPort) {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	probe := m.spreader.Probe()
+	probe.WantMembers, probe.WantStatuses = m.differences.wants(id)
 	reply := &message.Exchange{}
-	err := m.client.Call(call, address, "Exchange", m.spreader.Probe(), reply)
+	err := m.client.Call(call, address, "Exchange", probe, reply)
 	if ctx.Err() != nil {
 		return
 	}
@@ -124,6 +131,7 @@
 		return
 	}
 	m.news.Merge(reply)
+	m.differences.note(id, m.news, reply)
 	m.follow(ctx, reply.GetSelf())
 }
 
@@ -157,7 +165,7 @@
 	if !m.greet(ctx) && m.clock.Now().Before(m.patience) {
 		return false
 	}
-	m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision())})
+	m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Fleet: true}, pullSources)
 	if m.board.View() == nil {
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
@@ -169,7 +177,7 @@
 	if !sleep(ctx, joinPeriod) {
 		return false
 	}
-	m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Records: true, Claims: true})
+	m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Records: true, Claims: true}, math.MaxInt)
 	return ctx.Err() == nil
 }
 
@@ -185,8 +193,10 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		greeting := m.spreader.Probe()
+		greeting.WantMembers = known.Len() == 0
 		reply := &message.Exchange{}
-		if err := m.client.Call(call, a, "Exchange", m.spreader.Probe(), reply); err == nil {
+		if err := m.client.Call(call, a, "Exchange", greeting, reply); err == nil {
 			m.news.Merge(reply)
 		}
 		cancel()
@@ -213,8 +223,9 @@
 	return addresses, shown
 }
 
-// pull fetches from every ready peer what request asks for.
-func (m *Membership) pull(ctx context.Context, request *message.PullRequest) {
+// pull fetches from ready peers what request asks for, until as many as sources
+// have answered.
+func (m *Membership) pull(ctx context.Context, request *message.PullRequest, sources int) {
 	request.Self = message.FromMember(m.table.Self())
 	for _, p := range m.board.Members().Ready() {
 		if p.ID == m.board.Self {
@@ -225,7 +236,7 @@
 		err := m.client.Call(call, p.Address, "Pull", request, reply)
 		cancel()
 		if err == nil {
-			err = m.configurer.TakeIn(reply)
+			err = m.configurer.TakeIn(reply, p.ID)
 		}
 		if err != nil {
 			klog.V(1).InfoS("pull failed", "instance", m.board.Self, "peer", p.ID, "err", err)
@@ -236,6 +247,9 @@
 		}
 		m.replicator.TakeRecords(reply.GetRecords())
 		m.replicator.TakeClaims(reply.GetClaims())
+		if sources--; sources == 0 {
+			return
+		}
 	}
 }
 
--- a/internal/control/news.go
+++ b/internal/control/news.go
@@ -32,6 +32,7 @@
 // Merge takes in x, a message from a peer.
 func (n *News) Merge(x *message.Exchange) {
 	now := n.clock.Now()
+	from := carawaycart.InstanceID(x.GetFrom())
 	if n.mergeMembers(x) {
 		n.spreader.Wake()
 	}
@@ -42,7 +43,7 @@
 			continue
 		}
 		if n.board.Entry(status.Endpoint).MergeStatus(status) {
-			n.spreader.Status(status)
+			n.spreader.Status(status, from)
 		}
 	}
 	for _, data := range x.GetChanges() {
@@ -51,7 +52,7 @@
 			n.counters.MessagesRefused.Inc(1)
 			continue
 		}
-		n.configurer.Offer(c, now)
+		n.configurer.Offer(c, from, now)
 	}
 }
 
@@ -72,9 +73,10 @@
 	return news
 }
 
-// Same reports whether the sender of x knows the same members and statuses.
-func (n *News) Same(x *message.Exchange) bool {
-	return x.GetMemberDigest() == n.table.Digest() && x.GetStatusDigest() == statusDigest(n.board)
+// Differs reports whether the sender of x knows other members, or other
+// statuses.
+func (n *News) Differs(x *message.Exchange) (members, statuses bool) {
+	return x.GetMemberDigest() != n.table.Digest(), x.GetStatusDigest() != statusDigest(n.board)
 }
 
 // statusDigest returns a hash of all statuses; boards with equal statuses have
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -38,19 +38,18 @@
 	}
 }
 
-// Exchange takes in a probe, and answers with everything if the sender's view
-// of the fleet differs.
+// Exchange takes in a probe or news, and answers with what the sender asks for.
 func (p *Peers) Exchange(x *message.Exchange) (*message.Exchange, error) {
 	p.news.Merge(x)
-	if p.news.Same(x) {
-		return p.spreader.Probe(), nil
-	}
-	return p.spreader.Full(), nil
+	return p.spreader.Answer(x), nil
 }
 
 // Pull returns what a newcomer lacks.
 func (p *Peers) Pull(r *message.PullRequest) (*message.PullReply, error) {
-	reply := &message.PullReply{Exchange: p.spreader.Full()}
+	reply := &message.PullReply{}
+	if r.GetFleet() {
+		reply.Exchange = p.spreader.Full()
+	}
 	changes, snapshot := p.configurer.Since(carawaycart.Revision(r.GetRevision()))
 	if snapshot != nil {
 		data, err := snapshot.Encode()
--- a/internal/control/spreader.go
+++ b/internal/control/spreader.go
@@ -31,8 +31,8 @@
 	zone     carawaycart.ZoneID
 
 	mu       sync.Mutex
-	statuses []carawaycart.EndpointStatus
-	changes  []carawaycart.Change
+	statuses []told[carawaycart.EndpointStatus]
+	changes  []told[carawaycart.Change]
 
 	wake chan struct{}
 	loop *loop
@@ -60,22 +60,41 @@
 // Close stops spreading.
 func (s *Spreader) Close() { s.loop.Close() }
 
-// Status queues a status that was news here.
-func (s *Spreader) Status(status carawaycart.EndpointStatus) {
+// Status queues a status that was news here, told by peer from, or empty if the
+// instance made it.
+func (s *Spreader) Status(status carawaycart.EndpointStatus, from carawaycart.InstanceID) {
 	s.mu.Lock()
-	s.statuses = append(s.statuses, status)
+	s.statuses = append(s.statuses, told[carawaycart.EndpointStatus]{status, from})
 	s.mu.Unlock()
 	s.Wake()
 }
 
-// Change queues a change that was news here.
-func (s *Spreader) Change(c carawaycart.Change) {
+// Change queues a change that was news here, told by peer from, or empty if it
+// came from the store.
+func (s *Spreader) Change(c carawaycart.Change, from carawaycart.InstanceID) {
 	s.mu.Lock()
-	s.changes = append(s.changes, c)
+	s.changes = append(s.changes, told[carawaycart.Change]{c, from})
 	s.mu.Unlock()
 	s.Wake()
 }
 
+// told is a piece of news with the peer that told it, which need not hear it.
+type told[T any] struct {
+	news T
+	from carawaycart.InstanceID
+}
+
+// newsFor returns the news that peer id did not tell.
+func newsFor[T any](all []told[T], id carawaycart.InstanceID) []T {
+	var news []T
+	for _, t := range all {
+		if t.from != id {
+			news = append(news, t.news)
+		}
+	}
+	return news
+}
+
 // Wake makes the spreader send queued news, those of the member table included.
 func (s *Spreader) Wake() {
 	select {
@@ -102,9 +121,12 @@
 	if len(members)+len(statuses)+len(changes) == 0 {
 		return
 	}
-	news := s.exchange(members, statuses, changes)
 	for _, n := range s.Neighbours() {
-		go s.send(ctx, n, news)
+		news := encodeNews(members, newsFor(statuses, n.ID), newsFor(changes, n.ID))
+		if len(news.Members)+len(news.Statuses)+len(news.Changes) > 0 {
+			news.From = string(s.board.Self)
+			go s.send(ctx, n, news)
+		}
 	}
 }
 
@@ -125,12 +147,8 @@
 	}
 }
 
-func (s *Spreader) exchange(members []carawaycart.Member, statuses []carawaycart.EndpointStatus, changes []carawaycart.Change) *message.Exchange {
-	x := &message.Exchange{
-		Self:         message.FromMember(s.table.Self()),
-		MemberDigest: s.table.Digest(),
-		StatusDigest: statusDigest(s.board),
-	}
+func encodeNews(members []carawaycart.Member, statuses []carawaycart.EndpointStatus, changes []carawaycart.Change) *message.Exchange {
+	x := &message.Exchange{}
 	for _, m := range members {
 		x.Members = append(x.Members, message.FromMember(m))
 	}
@@ -145,16 +163,46 @@
 	return x
 }
 
+// introduce adds the instance's statement about itself and its digests to x.
+func (s *Spreader) introduce(x *message.Exchange) *message.Exchange {
+	x.From = string(s.board.Self)
+	x.Self = message.FromMember(s.table.Self())
+	x.MemberDigest = s.table.Digest()
+	x.StatusDigest = statusDigest(s.board)
+	return x
+}
+
 // Probe returns a probe without news.
-func (s *Spreader) Probe() *message.Exchange { return s.exchange(nil, nil, nil) }
+func (s *Spreader) Probe() *message.Exchange { return s.introduce(&message.Exchange{}) }
+
+// Answer returns the answer to x: nothing if it only brought news, else digests
+// and what its sender asks for.
+func (s *Spreader) Answer(x *message.Exchange) *message.Exchange {
+	if x.GetSelf() == nil {
+		return &message.Exchange{}
+	}
+	var members []carawaycart.Member
+	var statuses []carawaycart.EndpointStatus
+	if x.GetWantMembers() {
+		members = s.table.Members()
+	}
+	if x.GetWantStatuses() {
+		statuses = s.allStatuses()
+	}
+	return s.introduce(encodeNews(members, statuses, nil))
+}
 
 // Full returns everything that is known about members and endpoints.
 func (s *Spreader) Full() *message.Exchange {
+	return s.introduce(encodeNews(s.table.Members(), s.allStatuses(), nil))
+}
+
+func (s *Spreader) allStatuses() []carawaycart.EndpointStatus {
 	var statuses []carawaycart.EndpointStatus
 	s.board.Entries(func(e *board.Entry) {
 		if st := e.Status(); st.Version > 0 {
 			statuses = append(statuses, st)
 		}
 	})
-	return s.exchange(s.table.Members(), statuses, nil)
+	return statuses
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -129,3 +129,14 @@
 	}
 	return m
 }
+
+// BytesByCall returns the bytes sent to peers by method.
+func (c *Counters) BytesByCall() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	calls := make(map[string]int64, len(c.byCall))
+	for method, m := range c.byCall {
+		calls[method] = m.Count()
+	}
+	return calls
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -225,6 +225,7 @@
 func (d *Demo) finish() {
 	d.report.Totals = d.fleet.Ledger.Totals()
 	d.report.ControlBytesPerSecondMax, d.report.ControlBytesPeakSecond = d.fleet.ControlBytes()
+	d.report.PeerBytesByCall = d.fleet.ControlCalls()
 	_, d.report.StoreCallsPeakSecond = d.fleet.Store.Calls()
 	for _, b := range d.fleet.Instances() {
 		d.report.SlotsDirtyAtEnd = max(d.report.SlotsDirtyAtEnd, b.Counters.SlotsDirty.Value())
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -39,6 +39,7 @@
 // meter follows the control bytes of one instance.
 type meter struct {
 	since time.Time
+	start int64 // bytes before the measurement
 	bytes int64
 	peak  float64
 	last  int64
@@ -200,8 +201,15 @@
 	}
 }
 
-// Measure follows the control bytes of the instances until ctx ends.
+// Measure follows the control bytes of the instances until ctx ends. What the
+// running instances sent before does not count; what later ones send to join does.
 func (f *Fleet) Measure(ctx context.Context) {
+	f.mu.Lock()
+	for id, b := range f.instances {
+		sent := b.Counters.ControlBytes.Count()
+		f.meters[id] = &meter{since: time.Now(), start: sent, bytes: sent, last: sent}
+	}
+	f.mu.Unlock()
 	ticker := time.NewTicker(meterCycle)
 	defer ticker.Stop()
 	for {
@@ -235,13 +243,24 @@
 	defer f.mu.Unlock()
 	for _, m := range f.meters {
 		if life := time.Since(m.since); life >= minMeasured {
-			mean = max(mean, float64(m.bytes)/life.Seconds())
+			mean = max(mean, float64(m.bytes-m.start)/life.Seconds())
 		}
 		peak = max(peak, m.peak)
 	}
 	return mean, peak
 }
 
+// ControlCalls returns the control bytes of all instances by call.
+func (f *Fleet) ControlCalls() map[string]int64 {
+	calls := make(map[string]int64)
+	for _, b := range f.Instances() {
+		for method, bytes := range b.Counters.BytesByCall() {
+			calls[method] += bytes
+		}
+	}
+	return calls
+}
+
 // Close ends everything.
 func (f *Fleet) Close() {
 	var closing sync.WaitGroup
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -18,14 +18,15 @@
 	Site      string `json:"site"`
 	Instances int    `json:"instances"`
 	standin.Totals
-	ImbalanceMaxOverMean     float64 `json:"imbalanceMaxOverMean"`
-	ControlBytesPerSecondMax float64 `json:"controlBytesPerSecondMax"`
-	ControlBytesPeakSecond   float64 `json:"controlBytesPeakSecond"`
-	ConfigInForceSecondsMax  float64 `json:"configInForceSecondsMax"`
-	ConfigReverts            int     `json:"configReverts"`
-	StoreCallsPeakSecond     int64   `json:"storeCallsPeakSecond"`
-	SlotsDirtyAtEnd          int64   `json:"slotsDirtyAtEnd"`
-	ElapsedSeconds           float64 `json:"elapsedSeconds"`
+	ImbalanceMaxOverMean     float64          `json:"imbalanceMaxOverMean"`
+	ControlBytesPerSecondMax float64          `json:"controlBytesPerSecondMax"`
+	ControlBytesPeakSecond   float64          `json:"controlBytesPeakSecond"`
+	PeerBytesByCall          map[string]int64 `json:"peerBytesByCall"`
+	ConfigInForceSecondsMax  float64          `json:"configInForceSecondsMax"`
+	ConfigReverts            int              `json:"configReverts"`
+	StoreCallsPeakSecond     int64            `json:"storeCallsPeakSecond"`
+	SlotsDirtyAtEnd          int64            `json:"slotsDirtyAtEnd"`
+	ElapsedSeconds           float64          `json:"elapsedSeconds"`
 }
 
 // maxInForceSeconds is how long an accepted change may take to be in force
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -47,7 +47,7 @@
 	result, err := s.handler.Exchange(args)
 	return answer(reply, result, err, func(d, r *message.Exchange) {
 		d.Self, d.Members, d.Statuses, d.Changes = r.Self, r.Members, r.Statuses, r.Changes
-		d.MemberDigest, d.StatusDigest = r.MemberDigest, r.StatusDigest
+		d.MemberDigest, d.StatusDigest, d.From = r.MemberDigest, r.StatusDigest, r.From
 	})
 }
 
