--- /dev/null
+++ b/core/config/config_test.go
@@ -0,0 +1,179 @@
+package config_test
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+	"carawaycart/core/config"
+)
+
+// apply returns the configuration that follows c by putting object at kind and
+// name; a nil object deletes it.
+func apply(c *config.Configuration, kind carawaycart.ObjectKind, name string, object any) (*config.Configuration, error) {
+	var after json.RawMessage
+	if object != nil {
+		after, _ = json.Marshal(object)
+	}
+	return c.Apply(carawaycart.Change{Revision: c.Revision + 1, ID: "id", Kind: kind, Name: name, After: after})
+}
+
+func endpoint(id carawaycart.EndpointID, zone carawaycart.ZoneID) carawaycart.Endpoint {
+	return carawaycart.Endpoint{
+		ID: id, Service: "desk", Zone: zone, FlowAddress: netip.MustParseAddrPort("10.0.0.1:6081"), Flows: 100, Slots: 2,
+	}
+}
+
+// site returns a configuration with one service and four endpoints in two zones.
+func site(t *testing.T) *config.Configuration {
+	t.Helper()
+	c := config.New()
+	put := func(kind carawaycart.ObjectKind, name string, object any) {
+		n, err := apply(c, kind, name, object)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c = n
+	}
+	put(carawaycart.KindZone, "a", carawaycart.Zone{ID: "a"})
+	put(carawaycart.KindZone, "b", carawaycart.Zone{ID: "b"})
+	put(carawaycart.KindService, "desk", carawaycart.Service{
+		ID: "desk", Address: netip.MustParseAddrPort("192.0.2.1:443"), Profile: "gentle",
+	})
+	for id, z := range map[carawaycart.EndpointID]carawaycart.ZoneID{"e1": "a", "e2": "a", "e3": "b", "e4": "b"} {
+		put(carawaycart.KindEndpoint, string(id), endpoint(id, z))
+	}
+	return c
+}
+
+func owners(c *config.Configuration, slots func(carawaycart.SlotTable) []uint16) map[carawaycart.EndpointID]int {
+	table := c.Slots["desk"]
+	n := make(map[carawaycart.EndpointID]int)
+	for _, m := range slots(table) {
+		if m != carawaycart.NoMember {
+			n[table.Members[m]]++
+		}
+	}
+	return n
+}
+
+func bases(t carawaycart.SlotTable) []uint16    { return t.Base }
+func currents(t carawaycart.SlotTable) []uint16 { return t.Current }
+
+func TestLeavingEndpointLosesSlotsButNotBases(t *testing.T) {
+	c := site(t)
+	before := owners(c, bases)["e1"]
+	e := endpoint("e1", "a")
+	e.Mark = carawaycart.MarkLeaving
+	c, err := apply(c, carawaycart.KindEndpoint, "e1", e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := owners(c, currents)["e1"]; n != 0 {
+		t.Errorf("got %d slots for new flows, want 0", n)
+	}
+	if n := owners(c, bases)["e1"]; n != before {
+		t.Errorf("got %d bases, want %d as before", n, before)
+	}
+}
+
+func TestZoneOutTakesBasesAndZoneBackDoesNotReturnThem(t *testing.T) {
+	c := site(t)
+	c, err := apply(c, carawaycart.KindZone, "a", carawaycart.Zone{ID: "a", Out: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []carawaycart.EndpointID{"e1", "e2"} {
+		if n := owners(c, bases)[id] + owners(c, currents)[id]; n != 0 {
+			t.Errorf("zone out: got %d slots for %s, want 0", n, id)
+		}
+	}
+	c, err = apply(c, carawaycart.KindZone, "a", carawaycart.Zone{ID: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := owners(c, currents)["e1"]; n == 0 {
+		t.Error("zone back: got no slots for e1, want its share")
+	}
+	if n := owners(c, bases)["e1"]; n != 0 {
+		t.Errorf("zone back: got %d bases for e1, whose flows ended with the zone; want 0", n)
+	}
+}
+
+func TestApplyRefuses(t *testing.T) {
+	bad := endpoint("e9", "nowhere")
+	for _, test := range []struct {
+		name   string
+		change carawaycart.Change
+		is     error
+	}{
+		{"gap", carawaycart.Change{Revision: 99, Kind: carawaycart.KindZone, Name: "c", After: json.RawMessage(`{"id":"c"}`)}, errors.NotValid},
+		{"unknown kind", carawaycart.Change{Kind: "colour", Name: "c"}, errors.NotValid},
+		{"unknown field", carawaycart.Change{Kind: carawaycart.KindZone, Name: "c", After: json.RawMessage(`{"id":"c","colour":1}`)}, errors.NotValid},
+		{"other name", carawaycart.Change{Kind: carawaycart.KindZone, Name: "c", After: json.RawMessage(`{"id":"d"}`)}, errors.NotValid},
+		{"unknown zone", carawaycart.Change{Kind: carawaycart.KindEndpoint, Name: "e9", After: must(json.Marshal(bad))}, errors.NotFound},
+		{"missing endpoint", carawaycart.Change{Kind: carawaycart.KindEndpoint, Name: "e9"}, errors.NotFound},
+		{"profile in use", carawaycart.Change{Kind: carawaycart.KindProfile, Name: "gentle"}, errors.NotValid},
+		{"service in use", carawaycart.Change{Kind: carawaycart.KindService, Name: "desk"}, errors.NotValid},
+	} {
+		c := site(t)
+		if test.change.Revision == 0 {
+			test.change.Revision = c.Revision + 1
+		}
+		n, err := c.Apply(test.change)
+		if n != nil || !errors.Is(err, test.is) {
+			t.Errorf("%s: got %v, %v; want an error that is %v", test.name, n, err, test.is)
+		}
+	}
+}
+
+func must(data []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func TestNextSkipsACorruptEntry(t *testing.T) {
+	c := site(t)
+	n, err := c.Next(carawaycart.Change{Revision: c.Revision + 1, Kind: "corrupt"})
+	if err == nil || n == nil || n.Revision != c.Revision+1 || len(n.Endpoints) != 4 {
+		t.Fatalf("got %v, %v; want an error and the old objects under the next revision", n, err)
+	}
+	if n, err := c.Next(carawaycart.Change{Revision: c.Revision + 2, Kind: "corrupt"}); n != nil || err == nil {
+		t.Fatalf("gap: got %v, %v; want nil and an error", n, err)
+	}
+}
+
+func TestSnapshotRoundTrip(t *testing.T) {
+	c := site(t)
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := config.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := endpoint("e1", "a")
+	e.Mark = carawaycart.MarkLeaving
+	want, err1 := apply(c, carawaycart.KindEndpoint, "e1", e)
+	have, err2 := apply(got, carawaycart.KindEndpoint, "e1", e)
+	if err1 != nil || err2 != nil {
+		t.Fatal(err1, err2)
+	}
+	if string(must(want.Encode())) != string(must(have.Encode())) {
+		t.Error("a change after the snapshot gives another configuration than one without")
+	}
+}
+
+func TestDecodeRefusesDamage(t *testing.T) {
+	for _, text := range []string{``, `{`, `{"colour":1}`, `{"services":{"desk":{"id":"desk"}}}`, `null extra`} {
+		if _, err := config.Decode([]byte(text)); err == nil {
+			t.Errorf("%q: got no error", text)
+		}
+	}
+}
--- /dev/null
+++ b/core/limit/gate_test.go
@@ -0,0 +1,169 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/limit"
+)
+
+var (
+	start   = time.Unix(1000, 0)
+	host    = carawaycart.Endpoint{ID: "e1", Flows: 100, Slots: 2}
+	profile = carawaycart.Profile{ColdFlows: 5, ColdRequests: 1, WarmupSeconds: 10}
+)
+
+func admitted(g *limit.Gate, tries int, now time.Time) int {
+	n := 0
+	for range tries {
+		if g.AdmitFlow(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAdmitFlow(t *testing.T) {
+	warm := func(g *limit.Gate) {
+		g.Observe(carawaycart.Report{}, start)
+	}
+	for _, test := range []struct {
+		name    string
+		prepare func(*limit.Gate)
+		now     time.Duration
+		want    int
+	}{
+		{"unknown endpoints count as cold", func(*limit.Gate) {}, 0, 5},
+		{"cold", func(g *limit.Gate) { g.Observe(carawaycart.Report{Cold: true}, start) }, 0, 5},
+		{"at the start of the warm-up", warm, 0, 5},
+		{"half through the warm-up", warm, 5 * time.Second, 55},
+		{"warm", warm, 10 * time.Second, 100},
+		{"nearly full", func(g *limit.Gate) { g.Observe(carawaycart.Report{Flows: 97}, start) }, 10 * time.Second, 3},
+		{"shedding", func(g *limit.Gate) { g.Observe(carawaycart.Report{Shedding: true}, start) }, 0, 0},
+		{"cold again", func(g *limit.Gate) {
+			warm(g)
+			admitted(g, 3, start)
+			g.Observe(carawaycart.Report{Cold: true}, start)
+		}, 0, 5},
+		{"dead", func(g *limit.Gate) {
+			g.Missed(true, start)
+			g.Missed(true, start)
+		}, 0, 0},
+	} {
+		g := limit.NewGate(host, profile, carawaycart.EndpointStatus{}, start)
+		test.prepare(g)
+		if got := admitted(g, 200, start.Add(test.now)); got != test.want {
+			t.Errorf("%s: got %d flows admitted, want %d", test.name, got, test.want)
+		}
+	}
+}
+
+func TestSilenceIsSeenAtOnce(t *testing.T) {
+	g := limit.NewGate(host, profile, carawaycart.EndpointStatus{}, start)
+	g.Observe(carawaycart.Report{}, start)
+	g.Missed(false, start.Add(time.Second))
+	if s, _ := g.Status(); s != carawaycart.EndpointOpen {
+		t.Errorf("one missing report: got %s, want open", s)
+	}
+	g.Missed(false, start.Add(3*time.Second))
+	if s, _ := g.Status(); s != carawaycart.EndpointSilent {
+		t.Errorf("3 s without a report: got %s, want silent", s)
+	}
+}
+
+// A new keeper cannot know how much of a cold endpoint's allowance is used.
+func TestNewKeeperOfAColdEndpointAdmitsNothing(t *testing.T) {
+	inherited := carawaycart.EndpointStatus{Version: 3, State: carawaycart.EndpointCold}
+	g := limit.NewGate(host, profile, inherited, start)
+	if n := admitted(g, 10, start); n != 0 {
+		t.Errorf("got %d flows admitted, want 0", n)
+	}
+}
+
+// A slot that is clean by its table may have flows elsewhere; the guard says so.
+func TestInheritedGuardOutlivesTheTakeover(t *testing.T) {
+	inherited := carawaycart.EndpointStatus{Version: 3, State: carawaycart.EndpointOpen, Guarded: true}
+	g := limit.NewGate(host, profile, inherited, start)
+	g.Guard(false, start)
+	if _, guarded := g.Status(); !guarded {
+		t.Fatal("the guard was dropped at the takeover")
+	}
+	g.Guard(true, start.Add(time.Second))
+	g.Guard(false, start.Add(2*time.Second))
+	if _, guarded := g.Status(); !guarded {
+		t.Error("the guard was dropped while flows may still pass elsewhere")
+	}
+	g.Guard(false, start.Add(5*time.Second))
+	if _, guarded := g.Status(); guarded {
+		t.Error("the guard was kept without a reason")
+	}
+}
+
+func TestSpillWaitsUntilTheGuardIsKnown(t *testing.T) {
+	g := limit.NewGate(host, profile, carawaycart.EndpointStatus{}, start)
+	if _, ok := g.SpillFrom(); ok {
+		t.Error("spill without a guard")
+	}
+	g.Guard(false, start) // an unknown endpoint is guarded
+	from, ok := g.SpillFrom()
+	if !ok || !from.After(start.Add(time.Second)) {
+		t.Errorf("got spill from %v, %t; want more than a second after the guard", from, ok)
+	}
+}
+
+func TestAcquire(t *testing.T) {
+	g := limit.NewGate(host, profile, carawaycart.EndpointStatus{}, start)
+	g.Observe(carawaycart.Report{}, start)
+	deadline := start.Add(time.Second)
+	for _, test := range []struct {
+		name string
+		id   carawaycart.PermitID
+		now  time.Duration
+		want bool
+	}{
+		{"first slot", "p1", 0, true},
+		{"second slot", "p2", 0, true},
+		{"no third slot", "p3", 0, false},
+		{"repeat of a granted one", "p1", 0, true},
+		{"after the deadline of others", "p4", time.Second, true},
+	} {
+		if got := g.Acquire(test.id, "i1", deadline, start.Add(test.now)); got != test.want {
+			t.Errorf("%s: got %t, want %t", test.name, got, test.want)
+		}
+	}
+	g.Release("p4", true, start.Add(time.Second))
+	if g.Acquire("p5", "i1", deadline.Add(time.Hour), start.Add(1100*time.Millisecond)) {
+		t.Error("an endpoint that shed a request got another at once")
+	}
+}
+
+func TestNewKeeperLearnsOfPermitsFirst(t *testing.T) {
+	inherited := carawaycart.EndpointStatus{Version: 1, State: carawaycart.EndpointOpen}
+	g := limit.NewGate(host, profile, inherited, start)
+	deadline := start.Add(time.Minute)
+	if g.Acquire("p1", "i1", deadline, start) {
+		t.Error("granted before holders could register")
+	}
+	g.Register("old1", "i2", deadline)
+	g.Register("old2", "i3", deadline)
+	if g.Acquire("p1", "i1", deadline, start.Add(2*time.Second)) {
+		t.Error("granted a third slot of two")
+	}
+}
+
+func TestBudget(t *testing.T) {
+	b := limit.NewBudget(0.1)
+	for b.Retry() {
+	}
+	for range 25 {
+		b.Fresh()
+	}
+	n := 0
+	for b.Retry() {
+		n++
+	}
+	if n != 2 {
+		t.Errorf("got %d retries for 25 fresh requests at 10%%, want 2", n)
+	}
+}
--- /dev/null
+++ b/core/slot/table_test.go
@@ -0,0 +1,149 @@
+package slot_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"carawaycart"
+	"carawaycart/core/slot"
+)
+
+func candidates(n, weight int) []slot.Candidate {
+	var c []slot.Candidate
+	for i := range n {
+		c = append(c, slot.Candidate{ID: carawaycart.EndpointID(fmt.Sprintf("e%02d", i)), Weight: weight})
+	}
+	return c
+}
+
+func counts(t carawaycart.SlotTable) map[carawaycart.EndpointID]int {
+	n := make(map[carawaycart.EndpointID]int)
+	for _, c := range t.Current {
+		if c != carawaycart.NoMember {
+			n[t.Members[c]]++
+		}
+	}
+	return n
+}
+
+func TestReassignShares(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		slots      int
+		candidates []slot.Candidate
+		want       map[carawaycart.EndpointID][2]int // least and most slots
+	}{
+		{"equal", 1024, candidates(4, 10), map[carawaycart.EndpointID][2]int{"e00": {256, 256}, "e03": {256, 256}}},
+		{"uneven division", 64, candidates(3, 1), map[carawaycart.EndpointID][2]int{"e00": {21, 22}, "e02": {21, 22}}},
+		{
+			"weights", 100 - 36, []slot.Candidate{{ID: "big", Weight: 3}, {ID: "small", Weight: 1}},
+			map[carawaycart.EndpointID][2]int{"big": {48, 48}, "small": {16, 16}},
+		},
+	} {
+		got := counts(slot.Reassign(slot.New(test.slots), test.candidates))
+		for id, bounds := range test.want {
+			if got[id] < bounds[0] || got[id] > bounds[1] {
+				t.Errorf("%s: got %d slots for %s, want %d to %d", test.name, got[id], id, bounds[0], bounds[1])
+			}
+		}
+	}
+}
+
+func TestReassignMovesOnlyTheShareOfALeaver(t *testing.T) {
+	before := slot.Reassign(slot.New(1024), candidates(14, 4200))
+	after := slot.Reassign(before, candidates(13, 4200))
+	moved := 0
+	for i := range before.Current {
+		if before.Members[before.Current[i]] != after.Members[after.Current[i]] {
+			moved++
+		}
+	}
+	if want := counts(before)["e13"]; moved != want {
+		t.Errorf("got %d slots moved, want the leaver's %d", moved, want)
+	}
+	if dirty := slot.Dirty(after); dirty != moved {
+		t.Errorf("got %d dirty slots, want the %d that moved", dirty, moved)
+	}
+}
+
+func TestReassignWithoutCandidatesKeepsBases(t *testing.T) {
+	before := slot.Reassign(slot.New(64), candidates(2, 1))
+	after := slot.Reassign(before, nil)
+	for i := range after.Current {
+		if after.Current[i] != carawaycart.NoMember || after.Members[after.Base[i]] != before.Members[before.Base[i]] {
+			t.Fatalf("slot %d: got base %d and current %d, want the old base and no current", i, after.Base[i], after.Current[i])
+		}
+	}
+}
+
+func TestGrowKeepsOwners(t *testing.T) {
+	before := slot.Reassign(slot.New(64), candidates(3, 1))
+	after := slot.Grow(slot.Clone(before), 256)
+	for f := carawaycart.Fingerprint(0); f < 1000; f++ {
+		b, a := before.Base[slot.Index(f, 64)], after.Base[slot.Index(f, 256)]
+		if a != b {
+			t.Fatalf("flow %d: got base %d, want %d", f, a, b)
+		}
+	}
+}
+
+func TestSettleMovesOnlyTheStatedPair(t *testing.T) {
+	table := slot.Reassign(slot.Reassign(slot.New(64), candidates(3, 1)), candidates(2, 1))
+	all := make([]carawaycart.SlotIndex, 64)
+	for i := range all {
+		all[i] = carawaycart.SlotIndex(i)
+	}
+	dirty := slot.Dirty(table)
+	if got := slot.Dirty(slot.Settle(table, "e01", "e00", all)); got != dirty {
+		t.Errorf("got %d dirty slots after settling a pair that has none, want %d", got, dirty)
+	}
+	table = slot.Settle(table, "e02", "e00", all)
+	table = slot.Settle(table, "e02", "e01", append(all, 5000))
+	if got := slot.Dirty(table); got != 0 {
+		t.Errorf("got %d dirty slots, want 0", got)
+	}
+}
+
+// Any sequence of changes leaves each candidate within one slot of its share,
+// and never changes a base that a candidate or a former one owns.
+func TestReassignProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := slot.New(256)
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			all := candidates(12, 1)
+			var chosen []slot.Candidate
+			for _, c := range all {
+				if rapid.Bool().Draw(t, string(c.ID)) {
+					chosen = append(chosen, c)
+				}
+			}
+			next := slot.Reassign(table, chosen)
+			for id, n := range counts(next) {
+				if least := 256 / len(chosen); n < least || n > least+1 {
+					t.Fatalf("got %d slots for %s of %d candidates", n, id, len(chosen))
+				}
+			}
+			for i, b := range table.Base {
+				if b != carawaycart.NoMember && next.Members[next.Base[i]] != table.Members[b] {
+					t.Fatalf("slot %d: base changed from %s to %s", i, table.Members[b], next.Members[next.Base[i]])
+				}
+			}
+			table = next
+		}
+	})
+}
+
+func BenchmarkReassign(b *testing.B) {
+	for _, n := range []int{14, 100, 500} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			table := slot.Reassign(slot.New(slot.Count(n)), candidates(n, 1))
+			fewer := candidates(n-1, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				slot.Reassign(table, fewer)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/caller/query_test.go
@@ -0,0 +1,83 @@
+package caller_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"carawaycart/io/caller"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestReadQuery(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		method string
+		header http.Header
+		valid  bool
+	}{
+		{"plain", "GET", nil, true},
+		{"keyed", "POST", http.Header{"Idempotency-Key": {"order-1"}}, true},
+		{"two keys", "POST", http.Header{"Idempotency-Key": {"a", "b"}}, false},
+		{"empty key", "POST", http.Header{"Idempotency-Key": {""}}, false},
+		{"over-long key", "POST", http.Header{"Idempotency-Key": {strings.Repeat("k", 256)}}, false},
+		{"key with a control character", "POST", http.Header{"Idempotency-Key": {"a\x01"}}, false},
+		{"time limit", "POST", http.Header{"Request-Timeout-Ms": {"250"}}, true},
+		{"two time limits", "POST", http.Header{"Request-Timeout-Ms": {"250", "300"}}, false},
+		{"negative time limit", "POST", http.Header{"Request-Timeout-Ms": {"-1"}}, false},
+		{"absurd time limit", "POST", http.Header{"Request-Timeout-Ms": {"99999999999999999999"}}, false},
+		{"tunnel", "CONNECT", nil, false},
+	} {
+		r := httptest.NewRequest(test.method, "http://desk/order", nil)
+		for k, v := range test.header {
+			r.Header[k] = v
+		}
+		q, err := caller.ReadQuery(r, start)
+		if test.valid && (err != nil || q.Service != "desk") {
+			t.Errorf("%s: got %+v, %v; want it accepted", test.name, q, err)
+		}
+		if !test.valid && !errors.Is(err, errors.NotValid) {
+			t.Errorf("%s: got %v, want an error that is NotValid", test.name, err)
+		}
+	}
+}
+
+func TestDeadlineIsStored(t *testing.T) {
+	r := httptest.NewRequest("GET", "http://desk/", nil)
+	r.Header.Set(caller.TimeoutHeader, "250")
+	q, err := caller.ReadQuery(r, start)
+	if want := start.Add(250 * time.Millisecond); err != nil || !q.Deadline.Equal(want) {
+		t.Errorf("got %v, %v; want %v", q.Deadline, err, want)
+	}
+}
+
+func TestCopyHeadersDropsThoseOfTheConnection(t *testing.T) {
+	src := http.Header{
+		"Connection": {"keep-alive, X-Hop"}, "X-Hop": {"1"}, "Transfer-Encoding": {"chunked"},
+		"Upgrade": {"websocket"}, "X-End": {"1"},
+	}
+	dst := http.Header{}
+	caller.CopyHeaders(dst, src)
+	if len(dst) != 1 || dst.Get("X-End") != "1" {
+		t.Errorf("got %v, want X-End alone", dst)
+	}
+}
+
+func FuzzReadQuery(f *testing.F) {
+	f.Add("POST", "desk:443", "key", "100")
+	f.Fuzz(func(t *testing.T, method, host, key, timeout string) {
+		r := httptest.NewRequest("POST", "http://desk/", nil)
+		r.Method, r.Host = method, host
+		r.Header[caller.KeyHeader] = []string{key}
+		r.Header[caller.TimeoutHeader] = []string{timeout}
+		q, err := caller.ReadQuery(r, start)
+		if err == nil && (!q.Deadline.After(start) || q.Key == "") {
+			t.Errorf("accepted %q %q %q with deadline %v", method, key, timeout, q.Deadline)
+		}
+	})
+}
--- /dev/null
+++ b/io/fabric/decode_test.go
@@ -0,0 +1,117 @@
+package fabric_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"carawaycart"
+	"carawaycart/io/fabric"
+)
+
+func tcpPacket(tb testing.TB, change func(*layers.IPv4, *layers.TCP)) []byte {
+	tb.Helper()
+	ip := &layers.IPv4{
+		Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: []byte{198, 51, 100, 1}, DstIP: []byte{192, 0, 2, 1},
+	}
+	tcp := &layers.TCP{SrcPort: 40000, DstPort: 443, ACK: true}
+	change(ip, tcp)
+	b := gopacket.NewSerializeBuffer()
+	if err := gopacket.SerializeLayers(b, gopacket.SerializeOptions{FixLengths: true}, ip, tcp, gopacket.Payload("data")); err != nil {
+		tb.Fatal(err)
+	}
+	datagram, err := fabric.Encode(b.Bytes(), 7)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return datagram
+}
+
+func TestDecodeKinds(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*layers.IPv4, *layers.TCP)
+		want   carawaycart.PacketKind
+	}{
+		{"data", func(*layers.IPv4, *layers.TCP) {}, carawaycart.PacketMiddle},
+		{"SYN", func(_ *layers.IPv4, t *layers.TCP) { t.SYN, t.ACK = true, false }, carawaycart.PacketFirst},
+		{"SYN with ACK", func(_ *layers.IPv4, t *layers.TCP) { t.SYN = true }, carawaycart.PacketMiddle},
+		{"SYN with RST", func(_ *layers.IPv4, t *layers.TCP) { t.SYN, t.ACK, t.RST = true, false, true }, carawaycart.PacketLast},
+		{"FIN", func(_ *layers.IPv4, t *layers.TCP) { t.FIN = true }, carawaycart.PacketLast},
+		{"RST", func(_ *layers.IPv4, t *layers.TCP) { t.RST = true }, carawaycart.PacketLast},
+	} {
+		var p carawaycart.Packet
+		if fault := fabric.NewDecoder().Decode(tcpPacket(t, test.change), &p); fault != fabric.FaultNone {
+			t.Errorf("%s: got fault %s", test.name, fault)
+		}
+		want := carawaycart.FlowKey{
+			Caller: netip.MustParseAddrPort("198.51.100.1:40000"), Service: netip.MustParseAddrPort("192.0.2.1:443"),
+			Protocol: carawaycart.TCP,
+		}
+		if p.Kind != test.want || p.Key != want {
+			t.Errorf("%s: got kind %d of %v, want kind %d of %v", test.name, p.Kind, p.Key, test.want, want)
+		}
+	}
+}
+
+func TestDecodeFaults(t *testing.T) {
+	good := func() []byte { return tcpPacket(t, func(*layers.IPv4, *layers.TCP) {}) }
+	edit := func(offset int, value byte) []byte {
+		d := good()
+		d[offset] = value
+		return d
+	}
+	const ip = 8 // offset of the inner IP header
+	for _, test := range []struct {
+		name     string
+		datagram []byte
+		want     fabric.Fault
+	}{
+		{"empty", nil, fabric.FaultGeneve},
+		{"truncated Geneve", good()[:5], fabric.FaultGeneve},
+		{"other Geneve version", edit(0, 0x40), fabric.FaultGeneve},
+		{"control packet", edit(1, 0x80), fabric.FaultGeneve},
+		{"critical option", edit(1, 0x40), fabric.FaultOption},
+		{"options beyond the end", edit(0, 0x3f), fabric.FaultGeneve},
+		{"inner Ethernet", edit(2, 0x65), fabric.FaultGeneve},
+		{"no inner packet", good()[:8], fabric.FaultIP},
+		{"inner version 6 in IPv4", edit(ip, 0x65), fabric.FaultIP},
+		{"absurd header length", edit(ip, 0x41), fabric.FaultIP},
+		{"absurd total length", edit(ip+2, 0xff), fabric.FaultIP},
+		{"first fragment", edit(ip+6, 0x20), fabric.FaultFragment},
+		{"later fragment", edit(ip+7, 0x01), fabric.FaultFragment},
+		{"ICMP", edit(ip+9, 1), fabric.FaultProtocol},
+		{"truncated TCP", good()[:ip+20+10], fabric.FaultIP},
+		{"absurd TCP header length", edit(ip+20+12, 0xf0), fabric.FaultTransport},
+	} {
+		var p carawaycart.Packet
+		if got := fabric.NewDecoder().Decode(test.datagram, &p); got != test.want {
+			t.Errorf("%s: got fault %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(tcpPacket(f, func(*layers.IPv4, *layers.TCP) {}))
+	f.Add([]byte{0x01, 0, 0x08, 0, 0, 0, 0, 0, 0, 0, 0, 0})
+	decoder := fabric.NewDecoder()
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		var p carawaycart.Packet
+		if fault := decoder.Decode(datagram, &p); fault == fabric.FaultNone && !p.Key.Service.IsValid() {
+			t.Errorf("accepted a datagram without a service address: %x", datagram)
+		}
+	})
+}
+
+func BenchmarkDecode(b *testing.B) {
+	datagram := tcpPacket(b, func(*layers.IPv4, *layers.TCP) {})
+	decoder := fabric.NewDecoder()
+	var p carawaycart.Packet
+	b.ReportAllocs()
+	for b.Loop() {
+		decoder.Decode(datagram, &p)
+	}
+}
--- /dev/null
+++ b/io/platform/changelog_test.go
@@ -0,0 +1,235 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"carawaycart"
+	"carawaycart/io/platform"
+)
+
+// fakeStore is a Store in memory whose faults can be set.
+type fakeStore struct {
+	mu       sync.Mutex
+	entries  map[string]carawaycart.StoreEntry
+	index    carawaycart.StoreIndex
+	down     bool
+	loseNext bool   // the next write takes effect, its answer is lost
+	failNext bool   // the next write does not take effect
+	before   func() // called once before the next write
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: make(map[string]carawaycart.StoreEntry)}
+}
+
+var errDown = errors.New("store is down")
+
+func (s *fakeStore) Get(_ context.Context, key string) (carawaycart.StoreEntry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return carawaycart.StoreEntry{}, errDown
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return e, errors.NotFoundf("key %s", key)
+	}
+	return e, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]carawaycart.StoreEntry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []carawaycart.StoreEntry
+	for k, e := range s.entries {
+		if strings.HasPrefix(k, prefix) {
+			found = append(found, e)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, nil
+}
+
+func (s *fakeStore) Wait(ctx context.Context, key string, _ carawaycart.StoreIndex) (carawaycart.StoreEntry, error) {
+	return s.Get(ctx, key)
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, value []byte, index carawaycart.StoreIndex) (bool, error) {
+	if f := s.before; f != nil {
+		s.before = nil
+		f()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || s.failNext {
+		s.failNext = false
+		return false, errDown
+	}
+	if s.entries[key].Index != index {
+		return false, nil
+	}
+	s.index++
+	s.entries[key] = carawaycart.StoreEntry{Key: key, Value: value, Index: s.index}
+	if s.loseNext {
+		s.loseNext = false
+		return false, errors.New("answer lost")
+	}
+	return true, nil
+}
+
+type fixedClock struct{}
+
+func (fixedClock) Now() time.Time { return time.Unix(1000, 0) }
+
+func putZone(name string, out bool) platform.Edit {
+	return platform.Edit{
+		Operator: "op", Kind: carawaycart.KindZone, Name: name,
+		Update: func(json.RawMessage) (json.RawMessage, error) {
+			return json.Marshal(carawaycart.Zone{ID: carawaycart.ZoneID(name), Out: out})
+		},
+	}
+}
+
+func TestAppendUnderFaults(t *testing.T) {
+	ctx := context.Background()
+	for _, test := range []struct {
+		name     string
+		prepare  func(*fakeStore)
+		accepted bool
+		entries  int // in the log afterwards, a base entry included
+	}{
+		{"no fault", func(*fakeStore) {}, true, 2},
+		{"answer lost after the write took effect", func(s *fakeStore) { s.loseNext = true }, true, 2},
+		{"write failed", func(s *fakeStore) { s.failNext = true }, false, 1},
+		{"store down", func(s *fakeStore) { s.down = true }, false, 1},
+	} {
+		store := newFakeStore()
+		log := platform.NewChangeLog(store, fixedClock{})
+		if _, err := log.Append(ctx, putZone("a", false)); err != nil {
+			t.Fatal(err)
+		}
+		test.prepare(store)
+		change, err := log.Append(ctx, putZone("a", true))
+		store.down = false
+		if (err == nil) != test.accepted {
+			t.Errorf("%s: got %v, want accepted %t", test.name, err, test.accepted)
+		}
+		changes, _ := log.Changes(ctx, 1)
+		if len(changes) != test.entries {
+			t.Errorf("%s: got %d entries, want %d", test.name, len(changes), test.entries)
+		}
+		c, _ := log.Latest(ctx)
+		if c.Zones["a"].Out != test.accepted {
+			t.Errorf("%s: got zone out %t, want %t", test.name, c.Zones["a"].Out, test.accepted)
+		}
+		if test.accepted && change.Revision != 2 {
+			t.Errorf("%s: got revision %d, want 2", test.name, change.Revision)
+		}
+	}
+}
+
+func TestRacingOperators(t *testing.T) {
+	ctx := context.Background()
+	for _, test := range []struct {
+		name     string
+		winner   platform.Edit
+		conflict bool
+	}{
+		{"same object", putZone("a", false), true},
+		{"other object", putZone("b", false), false},
+	} {
+		store := newFakeStore()
+		log := platform.NewChangeLog(store, fixedClock{})
+		if _, err := log.Append(ctx, putZone("a", false)); err != nil {
+			t.Fatal(err)
+		}
+		store.before = func() {
+			if _, err := log.Append(ctx, test.winner); err != nil {
+				t.Error(err)
+			}
+		}
+		change, err := log.Append(ctx, putZone("a", true))
+		var conflict *platform.ConflictError
+		if got := errors.As(err, &conflict); got != test.conflict {
+			t.Errorf("%s: got %v, want conflict %t", test.name, err, test.conflict)
+		}
+		if conflict != nil && conflict.Winner.Revision != 2 {
+			t.Errorf("%s: got winner at revision %d, want 2", test.name, conflict.Winner.Revision)
+		}
+		if !test.conflict && change.Revision != 3 {
+			t.Errorf("%s: got revision %d, want 3", test.name, change.Revision)
+		}
+	}
+}
+
+func TestCorruptEntryUsesItsRevisionUp(t *testing.T) {
+	ctx := context.Background()
+	store := newFakeStore()
+	log := platform.NewChangeLog(store, fixedClock{})
+	if _, err := log.Append(ctx, putZone("a", false)); err != nil {
+		t.Fatal(err)
+	}
+	store.entries["carawaycart/log/000000000002"] = carawaycart.StoreEntry{Key: "carawaycart/log/000000000002", Value: []byte("{"), Index: 9}
+	change, err := log.Append(ctx, putZone("a", true))
+	if err != nil || change.Revision != 3 {
+		t.Fatalf("got revision %d, %v; want 3", change.Revision, err)
+	}
+	if c, _ := log.Latest(ctx); c.Revision != 3 || !c.Zones["a"].Out {
+		t.Errorf("got revision %d with zone out %t, want 3 with true", c.Revision, c.Zones["a"].Out)
+	}
+}
+
+// Whatever faults hit the store, every change that was reported as accepted is
+// in the log exactly once, and nothing else is.
+func TestAppendHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := newFakeStore()
+		log := platform.NewChangeLog(store, fixedClock{})
+		accepted := make(map[carawaycart.ChangeID]bool)
+		steps := rapid.IntRange(1, 100).Draw(t, "steps")
+		for i := range steps {
+			switch rapid.IntRange(0, 4).Draw(t, "fault") {
+			case 0:
+				store.loseNext = true
+			case 1:
+				store.failNext = true
+			case 2:
+				store.before = func() {
+					if c, err := log.Append(ctx, putZone("race", false)); err == nil {
+						accepted[c.ID] = true
+					}
+				}
+			}
+			if c, err := log.Append(ctx, putZone(fmt.Sprintf("z%d", i%3), i%2 == 0)); err == nil {
+				accepted[c.ID] = true
+			}
+		}
+		changes, err := log.Changes(ctx, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, c := range changes {
+			if c.Revision != carawaycart.Revision(i+1) {
+				t.Fatalf("entry %d has revision %d", i, c.Revision)
+			}
+			if !accepted[c.ID] {
+				t.Fatalf("revision %d is in the log but was not reported as accepted", c.Revision)
+			}
+			delete(accepted, c.ID)
+		}
+		if len(accepted) > 0 {
+			t.Fatalf("%d accepted changes are not in the log", len(accepted))
+		}
+	})
+}
--- /dev/null
+++ b/message/convert_test.go
@@ -0,0 +1,66 @@
+package message_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"carawaycart"
+	"carawaycart/message"
+)
+
+func TestRecordsRoundTrip(t *testing.T) {
+	want := []carawaycart.FlowRecord{
+		{Service: "desk", Fingerprint: 1, Endpoint: "e1", Revision: 3, OpenedUnix: 7},
+		{Service: "desk", Fingerprint: 2, Endpoint: "e2", Revision: 4, OpenedUnix: 8},
+		{Service: "intake", Fingerprint: 3, Endpoint: "e1", Revision: 4, OpenedUnix: 9},
+	}
+	got, ended, err := message.ToRecords(message.FromRecords(want, []carawaycart.Fingerprint{9}))
+	if err != nil || len(ended) != 1 || ended[0] != 9 || len(got) != len(want) {
+		t.Fatalf("got %v, %v, %v", got, ended, err)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("record %d: got %v, want %v", i, got[i], want[i])
+		}
+	}
+}
+
+func TestRecordBytes(t *testing.T) {
+	const limit = 24 // bytes per record that the control budget allows
+	var records []carawaycart.FlowRecord
+	for i := range 1000 {
+		records = append(records, carawaycart.FlowRecord{
+			Service: "desk", Fingerprint: carawaycart.Fingerprint(i * 7919), Endpoint: "e1", Revision: 300, OpenedUnix: 1 << 60,
+		})
+	}
+	if got := proto.Size(message.FromRecords(records, nil)) / len(records); got > limit {
+		t.Errorf("got %d bytes per record, want at most %d", got, limit)
+	}
+}
+
+func FuzzToRecords(f *testing.F) {
+	seed, _ := proto.Marshal(message.FromRecords([]carawaycart.FlowRecord{{Service: "s", Endpoint: "e"}}, nil))
+	f.Add(seed)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var b message.RecordBatch
+		if proto.Unmarshal(data, &b) == nil {
+			_, _, _ = message.ToRecords(&b)
+		}
+	})
+}
+
+func FuzzToClaimAndMember(f *testing.F) {
+	seed, _ := proto.Marshal(message.FromClaim(carawaycart.Claim{Key: "k"}))
+	f.Add(seed)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var c message.Claim
+		if proto.Unmarshal(data, &c) == nil {
+			_, _ = message.ToClaim(&c)
+		}
+		var m message.Member
+		if proto.Unmarshal(data, &m) == nil {
+			_, _ = message.ToMember(&m)
+		}
+	})
+}
