--- a/core/slot/table_test.go
+++ b/core/slot/table_test.go
@@ -38,7 +38,8 @@
 		{"equal", 1024, candidates(4, 10), map[carawaycart.EndpointID][2]int{"e00": {256, 256}, "e03": {256, 256}}},
 		{"uneven division", 64, candidates(3, 1), map[carawaycart.EndpointID][2]int{"e00": {21, 22}, "e02": {21, 22}}},
 		{
-			"weights", 100 - 36, []slot.Candidate{{ID: "big", Weight: 3}, {ID: "small", Weight: 1}},
+			"weights", 100 - 36,
+			[]slot.Candidate{{ID: "big", Weight: 3}, {ID: "small", Weight: 1}},
 			map[carawaycart.EndpointID][2]int{"big": {48, 48}, "small": {16, 16}},
 		},
 	} {
--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,238 @@
+package balancer_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/internal/admin"
+	"carawaycart/internal/balancer"
+	"carawaycart/internal/settings"
+	"carawaycart/internal/standin"
+	"carawaycart/io/caller"
+	"carawaycart/io/endpoint"
+	"carawaycart/io/platform"
+)
+
+const readyLimit = 20 * time.Second
+
+// rig is one instance before one endpoint whose behaviour a test sets.
+type rig struct {
+	t        *testing.T
+	instance *balancer.Balancer
+	runs     atomic.Int64
+	handler  atomic.Pointer[http.HandlerFunc]
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/load" {
+			_ = json.NewEncoder(w).Encode(carawaycart.Report{})
+			return
+		}
+		(*r.handler.Load())(w, q)
+	}))
+	t.Cleanup(server.Close)
+	store, err := standin.NewStore("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	list, err := standin.NewList("127.0.0.1:0", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(list.Close)
+	r.configure(store, server.Listener.Addr().(*net.TCPAddr).AddrPort())
+	r.start(store, list)
+	return r
+}
+
+func (r *rig) configure(store *standin.Store, address netip.AddrPort) {
+	clock := carawaycart.NewSystemClock()
+	a := admin.NewAdmin(platform.NewChangeLog(platform.NewStore(store.URL(), nil), clock), "op", clock)
+	for _, o := range []struct {
+		kind   carawaycart.ObjectKind
+		name   string
+		object any
+	}{
+		{carawaycart.KindZone, "a", carawaycart.Zone{ID: "a"}},
+		{carawaycart.KindService, "desk", carawaycart.Service{ID: "desk", Address: netip.MustParseAddrPort("192.0.2.1:443"), Profile: "swift"}},
+		{carawaycart.KindEndpoint, "e1", carawaycart.Endpoint{ID: "e1", Service: "desk", Zone: "a", RequestAddress: address, Flows: 10, Slots: 2}},
+	} {
+		if _, err := a.Put(context.Background(), o.kind, o.name, o.object); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+func (r *rig) start(store *standin.Store, list *standin.List) {
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	s := settings.Settings{
+		ID: "lb1", Zone: "a", Fabric: any, Request: any, Peer: any, Operator: any,
+		Store: store.URL(), List: list.URL(), FabricThreads: 1,
+	}
+	sockets, err := balancer.Open(s)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	list.Add(carawaycart.ListedInstance{ID: "lb1", Zone: "a", PeerAddress: sockets.Peer.Addr().(*net.TCPAddr).AddrPort()})
+	if r.instance, err = balancer.New(s, sockets, carawaycart.NewSystemClock()); err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(r.instance.Kill)
+	limit := time.Now().Add(readyLimit)
+	for !r.instance.Ready() || r.instance.Board.Entry("e1").Status().State != carawaycart.EndpointOpen {
+		if time.Now().After(limit) {
+			r.t.Fatal("the instance did not become ready")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// serve sets the endpoint's behaviour; each call of it counts as a run.
+func (r *rig) serve(h http.HandlerFunc) {
+	counted := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.runs.Add(1)
+		h(w, q)
+	})
+	r.handler.Store(&counted)
+}
+
+// send sends a request and returns its outcome, cause and body.
+func (r *rig) send(method, key, body string) (outcome, cause, answer string) {
+	r.t.Helper()
+	q, err := http.NewRequest(method, "http://"+r.instance.RequestAddress().String()+"/order", strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	q.Host = "desk"
+	if key != "" {
+		q.Header.Set(caller.KeyHeader, key)
+	}
+	response, err := http.DefaultClient.Do(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "broken", "", string(data)
+	}
+	return response.Header.Get(caller.OutcomeHeader), response.Header.Get(caller.CauseHeader), string(data)
+}
+
+func breakOff(_ http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestRequests(t *testing.T) {
+	r := newRig(t)
+
+	t.Run("an order is answered once and its answer kept", func(t *testing.T) {
+		r.serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "confirmed") })
+		before := r.runs.Load()
+		for range 3 {
+			if outcome, _, body := r.send("POST", "kept", "a"); outcome != "answered" || body != "confirmed" {
+				t.Errorf("got %s %q, want the kept answer", outcome, body)
+			}
+		}
+		if n := r.runs.Load() - before; n != 1 {
+			t.Errorf("got %d runs, want 1", n)
+		}
+		if outcome, cause, _ := r.send("POST", "kept", "b"); outcome != "notRun" || cause != "keyMisused" {
+			t.Errorf("other body: got %s for %s, want notRun for keyMisused", outcome, cause)
+		}
+	})
+
+	// net/http would send a request with a key again when a kept connection
+	// breaks, because it takes the key to mean that it may.
+	t.Run("an order whose connection breaks is not sent again", func(t *testing.T) {
+		for _, body := range []string{"", "a"} {
+			r.serve(func(http.ResponseWriter, *http.Request) {})
+			r.send("GET", "", "") // leaves a kept connection
+			r.serve(breakOff)
+			before := r.runs.Load()
+			outcome, cause, _ := r.send("POST", "broken"+body, body)
+			if outcome != "unknown" || cause != "endpointLost" {
+				t.Errorf("body %q: got %s for %s, want unknown for endpointLost", body, outcome, cause)
+			}
+			if outcome, cause, _ := r.send("POST", "broken"+body, body); outcome != "unknown" || cause != "earlierAttempt" {
+				t.Errorf("body %q: repeat: got %s for %s, want unknown for earlierAttempt", body, outcome, cause)
+			}
+			if n := r.runs.Load() - before; n != 1 {
+				t.Errorf("body %q: got %d runs, want 1", body, n)
+			}
+		}
+	})
+
+	t.Run("an order that the endpoint did not run may be repeated", func(t *testing.T) {
+		r.serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(endpoint.NotRunHeader, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		if outcome, _, _ := r.send("POST", "shed", "a"); outcome != "notRun" {
+			t.Errorf("got %s, want notRun", outcome)
+		}
+		time.Sleep(1100 * time.Millisecond) // an endpoint that shed work is spared
+		r.serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "confirmed") })
+		if outcome, cause, _ := r.send("POST", "shed", "a"); outcome != "answered" {
+			t.Errorf("repeat: got %s for %s, want answered", outcome, cause)
+		}
+	})
+
+	t.Run("a request without a key runs once per arrival", func(t *testing.T) {
+		r.serve(breakOff)
+		before := r.runs.Load()
+		if outcome, _, _ := r.send("POST", "", "a"); outcome != "unknown" {
+			t.Errorf("got %s, want unknown", outcome)
+		}
+		if n := r.runs.Load() - before; n != 1 {
+			t.Errorf("got %d runs, want 1", n)
+		}
+	})
+
+	t.Run("an answer that breaks off is not passed as whole", func(t *testing.T) {
+		r.serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "1000")
+			_, _ = io.WriteString(w, "part")
+		})
+		if outcome, _, _ := r.send("GET", "", ""); outcome != "broken" {
+			t.Errorf("got %s, want a broken answer", outcome)
+		}
+		if outcome, cause, _ := r.send("POST", "cut", "a"); outcome != "unknown" || cause != "endpointLost" {
+			t.Errorf("keyed: got %s for %s, want unknown for endpointLost", outcome, cause)
+		}
+	})
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	r := newRig(t)
+	entered := make(chan struct{})
+	r.serve(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(w, "confirmed")
+	})
+	done := make(chan string)
+	go func() {
+		outcome, _, body := r.send("POST", "slow", "a")
+		done <- outcome + " " + body
+	}()
+	<-entered
+	if err := r.instance.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-done; got != "answered confirmed" {
+		t.Errorf("got %q, want the whole answer", got)
+	}
+}
--- a/internal/control/news.go
+++ b/internal/control/news.go
@@ -5,13 +5,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"carawaycart"
 	"carawaycart/core/board"
 	"carawaycart/core/config"
 	"carawaycart/core/member"
 	"carawaycart/internal/counters"
 	"carawaycart/message"
-
-	"carawaycart"
 )
 
 // News takes in what peers tell and passes on what is new.
--- a/internal/control/replicator.go
+++ b/internal/control/replicator.go
@@ -226,7 +226,7 @@
 		return
 	}
 	if members != re.members {
-		re.noteLoss(members)
+		re.noteLoss()
 		re.repairClaims(ctx, re.members, members)
 	}
 	re.repairRecords(ctx, re.members, members, re.view, view)
@@ -235,7 +235,7 @@
 
 // noteLoss looks for instances that went missing within lossWindow of each
 // other, which may have taken the only copies of claims with them.
-func (re *Replicator) noteLoss(members *member.View) {
+func (re *Replicator) noteLoss() {
 	now := re.clock.Now()
 	re.history = append(re.history, pastView{view: re.members, end: now})
 	for len(re.history) > 1 && now.Sub(re.history[0].end) > lossWindow {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -32,7 +32,6 @@
 	mu        sync.Mutex
 	instances map[carawaycart.InstanceID]*balancer.Balancer
 	hosts     map[carawaycart.EndpointID]*standin.Host
-	started   int
 	meters    map[carawaycart.InstanceID]*meter
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,38 +80,58 @@
 func Fields() []Field { return slices.Clone(fields) }
 
 var fields = []Field{
-	{Section: "instance", Key: "id", Meaning: "Name of the instance, unique in the fleet and over restarts.", Required: true,
+	{
+		Section: "instance", Key: "id", Meaning: "Name of the instance, unique in the fleet and over restarts.", Required: true,
 		set: func(s *Settings, v string) error {
 			s.ID = carawaycart.InstanceID(v)
 			return config.ValidateName(v)
-		}},
-	{Section: "instance", Key: "zone", Meaning: "Availability zone that the instance runs in.", Required: true,
+		},
+	},
+	{
+		Section: "instance", Key: "zone", Meaning: "Availability zone that the instance runs in.", Required: true,
 		set: func(s *Settings, v string) error {
 			s.Zone = carawaycart.ZoneID(v)
 			return config.ValidateName(v)
-		}},
-	{Section: "listen", Key: "fabric", Meaning: "UDP address for Geneve packets from the fabric.", Required: true,
-		set: address(func(s *Settings) *netip.AddrPort { return &s.Fabric })},
-	{Section: "listen", Key: "request", Meaning: "TCP address for HTTP requests of callers.", Required: true,
-		set: address(func(s *Settings) *netip.AddrPort { return &s.Request })},
-	{Section: "listen", Key: "peer", Meaning: "TCP and UDP address for other instances; must not be a wildcard address.", Required: true,
-		set: address(func(s *Settings) *netip.AddrPort { return &s.Peer })},
-	{Section: "listen", Key: "operator", Meaning: "TCP address for operators and metrics over HTTP.", Required: true,
-		set: address(func(s *Settings) *netip.AddrPort { return &s.Operator })},
-	{Section: "platform", Key: "store", Meaning: "URL of the platform's key-value service.", Required: true,
+		},
+	},
+	{
+		Section: "listen", Key: "fabric", Meaning: "UDP address for Geneve packets from the fabric.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Fabric }),
+	},
+	{
+		Section: "listen", Key: "request", Meaning: "TCP address for HTTP requests of callers.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Request }),
+	},
+	{
+		Section: "listen", Key: "peer", Meaning: "TCP and UDP address for other instances; must not be a wildcard address.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Peer }),
+	},
+	{
+		Section: "listen", Key: "operator", Meaning: "TCP address for operators and metrics over HTTP.", Required: true,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Operator }),
+	},
+	{
+		Section: "platform", Key: "store", Meaning: "URL of the platform's key-value service.", Required: true,
 		set: func(s *Settings, v string) error {
 			s.Store = v
 			return checkURL(v)
-		}},
-	{Section: "platform", Key: "list", Meaning: "URL of the platform's instance list.", Required: true,
+		},
+	},
+	{
+		Section: "platform", Key: "list", Meaning: "URL of the platform's instance list.", Required: true,
 		set: func(s *Settings, v string) error {
 			s.List = v
 			return checkURL(v)
-		}},
-	{Section: "peers", Key: "seeds", Meaning: "Peer addresses to join by besides those of the list, separated by commas.",
-		set: setSeeds},
-	{Section: "threads", Key: "fabric", Meaning: "Threads that forward packets, 1 to 64.", Default: "2",
-		set: setThreads},
+		},
+	},
+	{
+		Section: "peers", Key: "seeds", Meaning: "Peer addresses to join by besides those of the list, separated by commas.",
+		set: setSeeds,
+	},
+	{
+		Section: "threads", Key: "fabric", Meaning: "Threads that forward packets, 1 to 64.", Default: "2",
+		set: setThreads,
+	},
 }
 
 func address(field func(*Settings) *netip.AddrPort) func(*Settings, string) error {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"carawaycart/internal/mutate"
 	"carawaycart/internal/settings"
 )
 
@@ -43,3 +44,19 @@
 		_, _ = settings.Parse("fuzz.ini", data)
 	})
 }
+
+func TestParseSurvivesDamage(t *testing.T) {
+	good, err := os.ReadFile("testdata/good.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	mutate.Each(1, 3000, [][]byte{good}, func(data []byte) {
+		if _, err := settings.Parse("damaged.ini", data); err != nil {
+			refused++
+		}
+	})
+	if refused == 0 {
+		t.Error("no damaged file was refused, so the test shows too little")
+	}
+}
--- a/io/fabric/decode_test.go
+++ b/io/fabric/decode_test.go
@@ -8,6 +8,7 @@
 	"github.com/gopacket/gopacket/layers"
 
 	"carawaycart"
+	"carawaycart/internal/mutate"
 	"carawaycart/io/fabric"
 )
 
@@ -115,3 +116,22 @@
 		decoder.Decode(datagram, &p)
 	}
 }
+
+func TestDecodeSurvivesDamage(t *testing.T) {
+	syn := tcpPacket(t, func(_ *layers.IPv4, s *layers.TCP) { s.SYN, s.ACK = true, false })
+	decoder := fabric.NewDecoder()
+	counts := make(map[fabric.Fault]int)
+	mutate.Each(1, 50000, [][]byte{syn}, func(datagram []byte) {
+		var p carawaycart.Packet
+		fault := decoder.Decode(datagram, &p)
+		counts[fault]++
+		if fault == fabric.FaultNone && !p.Key.Service.IsValid() {
+			t.Errorf("accepted a datagram without a service address: %x", datagram)
+		}
+	})
+	for f := fabric.FaultNone; f < fabric.Fault(fabric.FaultCount); f++ {
+		if counts[f] == 0 {
+			t.Errorf("no damaged datagram gave %s, so the test shows too little", f)
+		}
+	}
+}
--- a/message/convert_test.go
+++ b/message/convert_test.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"carawaycart"
+	"carawaycart/internal/mutate"
 	"carawaycart/message"
 )
 
@@ -64,3 +65,23 @@
 		}
 	})
 }
+
+func TestConversionSurvivesDamage(t *testing.T) {
+	records, err := proto.Marshal(message.FromRecords([]carawaycart.FlowRecord{{Service: "s", Endpoint: "e", Fingerprint: 5}}, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	mutate.Each(1, 20000, [][]byte{records}, func(data []byte) {
+		var b message.RecordBatch
+		if proto.Unmarshal(data, &b) != nil {
+			return
+		}
+		if _, _, err := message.ToRecords(&b); err != nil {
+			refused++
+		}
+	})
+	if refused == 0 {
+		t.Error("no damaged batch was refused, so the test shows too little")
+	}
+}
