Rank holders in one pass, and only where a change of members can matter

Change: a cheaper mix of hashes, one pass for all replicas; holders are carried over from the previous view unless a changed instance held the object or scores high enough; routes that a change does not touch are kept. Conclusion: a change of membership no longer costs in proportion to endpoints times instances.

--- /dev/null
+++ b/core/board/bench_test.go
@@ -0,0 +1,124 @@
+package board_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/board"
+	"carawaycart/core/config"
+)
+
+var start = time.Unix(1000, 0)
+
+// site is a number of services with endpoints for each.
+type site struct{ services, endpoints int }
+
+var sites = []site{{2, 18}, {100, 900}, {500, 4500}, {2300, 21000}}
+
+// build returns the configuration of s.
+func build(tb testing.TB, s site) *config.Configuration {
+	tb.Helper()
+	c := config.New()
+	put := func(kind carawaycart.ObjectKind, name string, object any) {
+		after, err := json.Marshal(object)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		c, err = c.Apply(carawaycart.Change{Revision: c.Revision + 1, Kind: kind, Name: name, After: after})
+		if err != nil {
+			tb.Fatal(err)
+		}
+	}
+	zones := make([]carawaycart.ZoneID, 8)
+	for i := range zones {
+		zones[i] = carawaycart.ZoneID(fmt.Sprintf("zone-%d", i))
+		put(carawaycart.KindZone, string(zones[i]), carawaycart.Zone{ID: zones[i]})
+	}
+	services := make(map[carawaycart.ServiceID]carawaycart.Service)
+	endpoints := make(map[carawaycart.EndpointID]carawaycart.Endpoint)
+	for i := range s.services {
+		id := carawaycart.ServiceID(fmt.Sprintf("service-%d", i))
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(i >> 8), byte(i)}), 443)
+		services[id] = carawaycart.Service{ID: id, Address: a, Profile: "gentle"}
+	}
+	for i := range s.endpoints {
+		id := carawaycart.EndpointID(fmt.Sprintf("endpoint-%d", i))
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6081)
+		endpoints[id] = carawaycart.Endpoint{
+			ID: id, Service: carawaycart.ServiceID(fmt.Sprintf("service-%d", i%s.services)), Zone: zones[i%8],
+			FlowAddress: a, RequestAddress: a, Flows: 4200, Slots: 2,
+		}
+	}
+	return c.With(services, endpoints)
+}
+
+func eachSite(b *testing.B, f func(b *testing.B, c *config.Configuration)) {
+	for _, s := range sites {
+		c := build(b, s)
+		b.Run(fmt.Sprintf("services=%d/endpoints=%d", s.services, s.endpoints), func(b *testing.B) {
+			b.ReportAllocs()
+			f(b, c)
+		})
+	}
+}
+
+func mark(c *config.Configuration, m carawaycart.EndpointMark) carawaycart.Change {
+	e := c.Endpoints["endpoint-0"]
+	e.Mark = m
+	after, _ := json.Marshal(e)
+	return carawaycart.Change{Revision: c.Revision + 1, ID: "id", Kind: carawaycart.KindEndpoint, Name: "endpoint-0", After: after}
+}
+
+// BenchmarkChange is one change of an endpoint, applied and put in force.
+func BenchmarkChange(b *testing.B) {
+	eachSite(b, func(b *testing.B, c *config.Configuration) {
+		board := board.New("i1")
+		board.SetConfig(c, start)
+		now := start
+		marks := []carawaycart.EndpointMark{carawaycart.MarkLeaving, carawaycart.MarkNone}
+		for i := 0; b.Loop(); i++ {
+			n, err := c.Apply(mark(c, marks[i%2]))
+			if err != nil {
+				b.Fatal(err)
+			}
+			c = n
+			now = now.Add(time.Minute)
+			board.SetConfig(c, now)
+			board.Tick(now.Add(time.Second))
+			board.Tick(now.Add(2 * time.Second))
+		}
+	})
+}
+
+// BenchmarkMemory reports the bytes of a configuration in force.
+func BenchmarkMemory(b *testing.B) {
+	for _, s := range sites {
+		b.Run(fmt.Sprintf("services=%d/endpoints=%d", s.services, s.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				c := build(b, s)
+				board := board.New("i1")
+				board.SetConfig(c, start)
+				b.ReportMetric(float64(heap()-before), "heap-bytes")
+				data, err := c.Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "snapshot-bytes")
+				runtime.KeepAlive(board)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -136,7 +136,7 @@
 	if v := b.View(); v != nil {
 		zones = v.Config.Zones
 	}
-	b.members.Store(member.NewView(b.latest, func(z carawaycart.ZoneID) member.Duty {
+	v := member.NewView(b.latest, func(z carawaycart.ZoneID) member.Duty {
 		if zones[z].Out {
 			return member.DutyNone
 		}
@@ -144,7 +144,11 @@
 			return member.DutyReplica
 		}
 		return member.DutyFull
-	}))
+	})
+	if old := b.members.Load(); old != nil {
+		v.Follow(old)
+	}
+	b.members.Store(v)
 }
 
 // noteReturns notes the zones that c brings back at now.
@@ -228,8 +232,11 @@
 }
 
 func (b *Board) route(previous *ServiceRoute, s carawaycart.Service, c *config.Configuration, now time.Time) *ServiceRoute {
-	r := &ServiceRoute{Service: s, Profile: c.Profiles[s.Profile]}
-	for _, id := range c.ServiceEndpoints(s.ID) {
+	if previous.same(s, c) {
+		return previous
+	}
+	r := &ServiceRoute{Service: s, Profile: c.Profiles[s.Profile], members: c.ServiceEndpoints(s.ID)}
+	for _, id := range r.members {
 		r.Entries = append(r.Entries, b.Entry(id))
 	}
 	slots := c.Slots[s.ID]
@@ -257,6 +264,17 @@
 	return r
 }
 
+// same reports whether c leaves everything about the route as it is, and no
+// period of it is still to pass.
+func (r *ServiceRoute) same(s carawaycart.Service, c *config.Configuration) bool {
+	return r != nil && len(r.Recent) == 1 && r.Active == r.Recent[0] && r.Service == s && r.Profile == c.Profiles[s.Profile] &&
+		sameTable(r.Active.slots, c.Slots[s.ID]) && sameMembers(r.members, c.ServiceEndpoints(s.ID))
+}
+
+func sameMembers(a, b []carawaycart.EndpointID) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // sameTable reports whether a and b share their slots, as the tables of
 // services that a change does not touch do.
 func sameTable(a, b carawaycart.SlotTable) bool {
--- a/core/board/entry.go
+++ b/core/board/entry.go
@@ -48,8 +48,13 @@
 // Holders returns the holders of the endpoint's state in view v; the result
 // must not be modified.
 func (e *Entry) Holders(v *member.View) *member.Holders {
-	if c := e.holders.Load(); c != nil && c.view == v {
-		return &c.holders
+	old := e.holders.Load()
+	if old != nil && old.view == v {
+		return &old.holders
+	}
+	if old != nil && v.Unchanged(old.view, &old.holders, e.key) {
+		e.holders.Store(&rankedHolders{view: v, holders: old.holders})
+		return &old.holders
 	}
 	c := &rankedHolders{view: v, holders: v.Holders(e.key)}
 	e.holders.Store(c)
--- a/core/board/route.go
+++ b/core/board/route.go
@@ -65,6 +65,7 @@
 	// one is the latest.
 	Recent []*Table
 
+	members  []carawaycart.EndpointID // of the service, as configured
 	activity *activity
 }
 
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -356,3 +356,27 @@
 	t = slot.Reassign(t, candidates)
 	c.Slots[id] = slot.Rebase(t, func(e carawaycart.EndpointID) bool { return !c.Holding(e) })
 }
+
+// With returns c with the given services and endpoints besides its own, all in
+// force at once: every slot's base is its current endpoint. The objects must be
+// valid; the revision stays.
+func (c *Configuration) With(services map[carawaycart.ServiceID]carawaycart.Service,
+	endpoints map[carawaycart.EndpointID]carawaycart.Endpoint,
+) *Configuration {
+	n := *c
+	n.Services = maps.Clone(c.Services)
+	n.Endpoints = maps.Clone(c.Endpoints)
+	n.Slots = maps.Clone(c.Slots)
+	n.members = make(map[carawaycart.ServiceID][]carawaycart.EndpointID)
+	maps.Copy(n.Services, services)
+	maps.Copy(n.Endpoints, endpoints)
+	for id, e := range n.Endpoints {
+		n.members[e.Service] = append(n.members[e.Service], id)
+	}
+	for id := range services {
+		slices.Sort(n.members[id])
+		n.Slots[id] = slot.New(slot.Count(len(n.members[id])))
+		n.reassign(id)
+	}
+	return &n
+}
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -207,3 +207,46 @@
 		t.Errorf("got %d instances reached, want 12", len(reached))
 	}
 }
+
+// Holders that Unchanged vouches for are those that the new view gives, whatever
+// instances come, go or change.
+func TestUnchangedIsTrue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := []carawaycart.MemberState{carawaycart.MemberReady, carawaycart.MemberJoining, carawaycart.MemberDead}
+		draw := func(label string) *member.View {
+			var all []carawaycart.Member
+			for _, m := range fleet() {
+				m.State = rapid.SampledFrom(states).Draw(t, label)
+				all = append(all, m)
+			}
+			return member.NewView(all, full)
+		}
+		before, after := draw("before"), draw("after")
+		after.Follow(before)
+		for k := range rendezvous.Key(50) {
+			old, now := before.Holders(k), after.Holders(k)
+			if !after.Unchanged(before, &old, k) {
+				continue
+			}
+			if old.Keeper != now.Keeper || old.Replicas != now.Replicas {
+				t.Fatalf("key %d: got %v unchanged, want %v", k, old, now)
+			}
+		}
+	})
+}
+
+func TestUnchangedSparesMostKeys(t *testing.T) {
+	all := fleet()
+	before := member.NewView(all, full)
+	after := member.NewView(all[:len(all)-1], full)
+	after.Follow(before)
+	spared := 0
+	for k := range rendezvous.Key(1000) {
+		if h := before.Holders(k); after.Unchanged(before, &h, k) {
+			spared++
+		}
+	}
+	if spared < 600 {
+		t.Errorf("got %d of 1000 keys spared when one of 12 instances goes, want most", spared)
+	}
+}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 
 	"carawaycart"
 	"carawaycart/internal/rendezvous"
@@ -21,8 +22,15 @@
 type View struct {
 	ready   []Peer // decide and hold replicas, ordered by ID
 	joining []Peer // hold replicas only, ordered by ID
+
+	id       uint64 // unique in the process
+	previous uint64 // the view that this one follows, if any
+	changed  []Peer // in one of the two views only
 }
 
+// views counts the views made, to tell them apart without keeping old ones.
+var views atomic.Uint64
+
 // MaxReplicas is the most replicas that Holders names besides the keeper.
 const MaxReplicas = 4
 
@@ -30,9 +38,13 @@
 type Holders struct {
 	Keeper   carawaycart.InstanceID
 	Replicas [MaxReplicas]carawaycart.InstanceID
-	Count    int // number of Replicas in use
+	Count    int    // number of Replicas in use
+	bar      uint64 // a peer that scores less changes nothing
 }
 
+// minReplicas is how many replicas a bar needs to hold.
+const minReplicas = 1
+
 // Contains reports whether id is the keeper or a replica.
 func (h *Holders) Contains(id carawaycart.InstanceID) bool {
 	return h.Keeper == id || slices.Contains(h.Replicas[:h.Count], id)
@@ -68,7 +80,7 @@
 }
 
 func newView(members []carawaycart.Member, duty func(carawaycart.ZoneID) Duty) *View {
-	v := &View{}
+	v := &View{id: views.Add(1)}
 	for _, m := range members {
 		d := duty(m.Zone)
 		alive := m.State == carawaycart.MemberReady || m.State == carawaycart.MemberJoining
@@ -116,63 +128,106 @@
 // highest outside the keeper's zone, and the same two over ready and joining
 // instances together, so that a joining instance receives what it will keep.
 func (v *View) Holders(key rendezvous.Key) Holders {
-	keeper, second, elsewhere := rank(key, v.ready, nil)
-	h := Holders{Keeper: keeper}
-	if keeper == "" {
+	var r ranking
+	r.addAll(v.ready, key)
+	h := Holders{Keeper: r.first.id()}
+	if h.Keeper == "" {
 		return h
 	}
-	h.add(second)
-	h.add(elsewhere)
+	h.add(r.second.id())
+	h.add(r.outside.id())
+	h.bar = min(r.second.score, r.outside.score)
 	if len(v.joining) > 0 {
-		first, _, other := rank(key, v.ready, v.joining)
-		h.add(first)
-		h.add(other)
+		r.addAll(v.joining, key)
+		h.add(r.first.id())
+		h.add(r.outside.id())
 	}
 	return h
 }
 
-// rank returns the highest-scoring peer, the second highest, and the highest
+// ranked is a peer with its score for one key.
+type ranked struct {
+	peer  *Peer
+	score uint64
+}
+
+func (r ranked) id() carawaycart.InstanceID {
+	if r.peer == nil {
+		return ""
+	}
+	return r.peer.ID
+}
+
+// ranking finds the highest-scoring peer, the second highest, and the highest
 // outside the zone of the first.
-func rank(key rendezvous.Key, ready, joining []Peer) (first, second, elsewhere carawaycart.InstanceID) {
-	var firstPeer, secondPeer *Peer
-	var high, next uint64
-	for _, peers := range [2][]Peer{ready, joining} {
-		for i := range peers {
-			p := &peers[i]
-			s := rendezvous.Score(p.name, key)
-			switch {
-			case firstPeer == nil || s > high:
-				secondPeer, next = firstPeer, high
-				firstPeer, high = p, s
-			case secondPeer == nil || s > next:
-				secondPeer, next = p, s
-			}
-		}
+type ranking struct{ first, second, outside ranked }
+
+func (r *ranking) addAll(peers []Peer, key rendezvous.Key) {
+	for i := range peers {
+		r.add(ranked{&peers[i], rendezvous.Score(peers[i].name, key)})
 	}
-	if firstPeer == nil {
-		return "", "", ""
+}
+
+func (r *ranking) add(c ranked) {
+	switch {
+	case r.first.peer == nil || c.score > r.first.score:
+		if r.first.peer != nil && c.peer.Zone != r.first.peer.Zone {
+			r.outside = r.first // nothing outside c's zone scores higher
+		}
+		r.second = r.first
+		r.first = c
+		return
+	case r.second.peer == nil || c.score > r.second.score:
+		r.second = c
 	}
-	if secondPeer == nil {
-		return firstPeer.ID, "", ""
+	if c.peer.Zone != r.first.peer.Zone && (r.outside.peer == nil || c.score > r.outside.score) {
+		r.outside = c
 	}
-	return firstPeer.ID, secondPeer.ID, highestOutside(key, firstPeer.Zone, ready, joining)
 }
 
-func highestOutside(key rendezvous.Key, zone carawaycart.ZoneID, ready, joining []Peer) carawaycart.InstanceID {
-	var id carawaycart.InstanceID
-	var high uint64
-	for _, peers := range [2][]Peer{ready, joining} {
-		for i := range peers {
-			p := &peers[i]
-			if p.Zone == zone {
-				continue
-			}
-			if s := rendezvous.Score(p.name, key); id == "" || s > high {
-				id, high = p.ID, s
+// Follow makes v the successor of previous, so that Unchanged can tell which
+// holders are the same in both. It must be called before v is shared.
+func (v *View) Follow(previous *View) {
+	v.previous = previous.id
+	v.changed = appendChanged(v.changed[:0], previous.ready, v.ready)
+	v.changed = appendChanged(v.changed, previous.joining, v.joining)
+}
+
+// appendChanged appends to dst the peers that are only in one of a and b, which
+// are ordered by ID.
+func appendChanged(dst, a, b []Peer) []Peer {
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].ID < b[0].ID:
+			dst = append(dst, a[0])
+			a = a[1:]
+		case len(a) == 0 || b[0].ID < a[0].ID:
+			dst = append(dst, b[0])
+			b = b[1:]
+		default:
+			if a[0] != b[0] {
+				dst = append(dst, a[0], b[0])
 			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return dst
+}
+
+// Unchanged reports whether h, the holders of key in view old, are certainly
+// the holders of key in v too. That needs v to follow old, and takes time in
+// proportion to the instances that changed.
+func (v *View) Unchanged(old *View, h *Holders, key rendezvous.Key) bool {
+	if v.previous != old.id || h.Keeper == "" || h.Count < minReplicas {
+		return false
+	}
+	for i := range v.changed {
+		c := &v.changed[i]
+		if h.Contains(c.ID) || rendezvous.Score(c.name, key) >= h.bar {
+			return false
 		}
 	}
-	return id
+	return true
 }
 
 // HasAddress reports whether an instance of the view has peer address a.
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,10 +1,6 @@
 package rendezvous
 
-import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // Name is the hash of a candidate's name.
 type Name uint64
@@ -18,10 +14,13 @@
 // NewKey returns the hash of name.
 func NewKey(name string) Key { return Key(xxhash.Sum64String(name)) }
 
-// Score returns the weight of candidate n for key k; the highest wins.
+// Score returns the weight of candidate n for key k; the highest wins. It mixes
+// the two hashes by the finalizer of SplitMix64, from G. Steele, D. Lea and
+// C. Flood, "Fast Splittable Pseudorandom Number Generators", OOPSLA 2014.
 func Score(n Name, k Key) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[0:8], uint64(n))
-	binary.LittleEndian.PutUint64(b[8:16], uint64(k))
-	return xxhash.Sum64(b[:])
+	const gamma = 0x9e3779b97f4a7c15
+	x := uint64(n) ^ (uint64(k)+1)*gamma
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
