--- /dev/null
+++ b/internal/demo/bench_test.go
@@ -0,0 +1,118 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/internal/admin"
+	"carawaycart/internal/standin"
+	"carawaycart/io/platform"
+)
+
+const (
+	benchReady  = time.Minute
+	benchPeriod = 10 * time.Second
+)
+
+// newBenchFleet returns a ready fleet of n instances in four zones, before one
+// zone entry per zone and no endpoints, and an Admin.
+func newBenchFleet(b *testing.B, n int) (*Fleet, *admin.Admin) {
+	b.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), benchReady)
+	defer cancel()
+	f, err := NewFleet("desk", 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	clock := carawaycart.NewSystemClock()
+	a := admin.NewAdmin(platform.NewChangeLog(platform.NewStore(f.Store.URL(), nil), clock), "bench", clock)
+	zones := standin.Sites()[0].Zones
+	for _, z := range zones {
+		if _, err := a.Put(ctx, carawaycart.KindZone, string(z), carawaycart.Zone{ID: z}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for i := range n {
+		z := zones[i%len(zones)]
+		if err := f.AddInstance(standin.InstanceName(z, i/len(zones)), z); err != nil {
+			b.Fatal(err)
+		}
+	}
+	if err := f.AwaitReady(ctx, carawaycart.Revision(len(zones))); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(3 * time.Second) // until news of the start has settled
+	return f, a
+}
+
+func (f *Fleet) controlSum() int64 {
+	var sum int64
+	for _, b := range f.Instances() {
+		sum += b.Counters.ControlBytes.Count()
+	}
+	return sum
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkIdle reports the control bytes and processor time of an instance in a
+// fleet where nothing happens.
+func BenchmarkIdle(b *testing.B) {
+	for _, n := range []int{4, 8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f, _ := newBenchFleet(b, n)
+				bytes, processor := f.controlSum(), processorTime()
+				time.Sleep(benchPeriod)
+				per := float64(n) * benchPeriod.Seconds()
+				b.ReportMetric(float64(f.controlSum()-bytes)/per, "bytes/s/instance")
+				b.ReportMetric(100*(processorTime()-processor).Seconds()/per, "%core/instance")
+				f.Close()
+			}
+		})
+	}
+}
+
+// BenchmarkSpread reports what a change of configuration costs each instance and
+// how long it takes to be in force everywhere.
+func BenchmarkSpread(b *testing.B) {
+	const changes = 20
+	for _, n := range []int{4, 8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f, a := newBenchFleet(b, n)
+				ctx, cancel := context.WithTimeout(context.Background(), benchReady)
+				bytes := f.controlSum()
+				begin := time.Now()
+				var longest time.Duration
+				for range changes {
+					c, err := a.SetZone(ctx, "stord", false)
+					if err != nil {
+						b.Fatal(err)
+					}
+					accepted := time.Now()
+					if err := f.AwaitRevision(ctx, c.Revision); err != nil {
+						b.Fatal(err)
+					}
+					longest = max(longest, time.Since(accepted))
+				}
+				elapsed := time.Since(begin).Seconds()
+				b.ReportMetric(float64(f.controlSum()-bytes)/float64(n*changes), "bytes/change/instance")
+				b.ReportMetric(elapsed/changes, "s/change")
+				b.ReportMetric(longest.Seconds(), "s-in-force-max")
+				cancel()
+				f.Close()
+			}
+		})
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,3 +60,18 @@
 		t.Error("no damaged file was refused, so the test shows too little")
 	}
 }
+
+func TestReferenceIsUpToDate(t *testing.T) {
+	const page = "../../docs/operators/SETTINGS.md"
+	got, err := os.ReadFile(page)
+	if os.Getenv("UPDATE_REFERENCE") != "" {
+		err = os.WriteFile(page, []byte(settings.Reference()), 0o644)
+		got = []byte(settings.Reference())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != settings.Reference() {
+		t.Errorf("%s differs from the code's table; run the test with UPDATE_REFERENCE=1", page)
+	}
+}
