Take a whole site in one change; find peer ports free for both protocols

A benchmark with 32 instances once failed to start: the free TCP port was taken for UDP. Change: a change of kind bundle creates several objects, and a new service's slots begin clean; a pair of free ports is looked for up to 20 times.

--- a/config.go
+++ b/config.go
@@ -77,6 +77,7 @@
 	KindService  ObjectKind = "service"
 	KindEndpoint ObjectKind = "endpoint"
 	KindZone     ObjectKind = "zone"
+	KindBundle   ObjectKind = "bundle" // several objects at once
 	KindSettle   ObjectKind = "settle" // base endpoints of a service's slots have no flows left
 )
 
--- a/core/board/bench_test.go
+++ b/core/board/bench_test.go
@@ -23,38 +23,34 @@
 // build returns the configuration of s.
 func build(tb testing.TB, s site) *config.Configuration {
 	tb.Helper()
-	c := config.New()
-	put := func(kind carawaycart.ObjectKind, name string, object any) {
-		after, err := json.Marshal(object)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		c, err = c.Apply(carawaycart.Change{Revision: c.Revision + 1, Kind: kind, Name: name, After: after})
-		if err != nil {
-			tb.Fatal(err)
-		}
+	var bundle config.Bundle
+	zone := func(i int) carawaycart.ZoneID { return carawaycart.ZoneID(fmt.Sprintf("zone-%d", i%8)) }
+	service := func(i int) carawaycart.ServiceID {
+		return carawaycart.ServiceID(fmt.Sprintf("service-%d", i%s.services))
 	}
-	zones := make([]carawaycart.ZoneID, 8)
-	for i := range zones {
-		zones[i] = carawaycart.ZoneID(fmt.Sprintf("zone-%d", i))
-		put(carawaycart.KindZone, string(zones[i]), carawaycart.Zone{ID: zones[i]})
+	for i := range 8 {
+		bundle.Zones = append(bundle.Zones, carawaycart.Zone{ID: zone(i)})
 	}
-	services := make(map[carawaycart.ServiceID]carawaycart.Service)
-	endpoints := make(map[carawaycart.EndpointID]carawaycart.Endpoint)
 	for i := range s.services {
-		id := carawaycart.ServiceID(fmt.Sprintf("service-%d", i))
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(i >> 8), byte(i)}), 443)
-		services[id] = carawaycart.Service{ID: id, Address: a, Profile: "gentle"}
+		bundle.Services = append(bundle.Services, carawaycart.Service{ID: service(i), Address: a, Profile: "gentle"})
 	}
 	for i := range s.endpoints {
-		id := carawaycart.EndpointID(fmt.Sprintf("endpoint-%d", i))
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6081)
-		endpoints[id] = carawaycart.Endpoint{
-			ID: id, Service: carawaycart.ServiceID(fmt.Sprintf("service-%d", i%s.services)), Zone: zones[i%8],
+		bundle.Endpoints = append(bundle.Endpoints, carawaycart.Endpoint{
+			ID: carawaycart.EndpointID(fmt.Sprintf("endpoint-%d", i)), Service: service(i), Zone: zone(i),
 			FlowAddress: a, RequestAddress: a, Flows: 4200, Slots: 2,
-		}
+		})
+	}
+	after, err := json.Marshal(bundle)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c, err := config.New().Apply(carawaycart.Change{Revision: 1, Kind: carawaycart.KindBundle, Name: "site", After: after})
+	if err != nil {
+		tb.Fatal(err)
 	}
-	return c.With(services, endpoints)
+	return c
 }
 
 func eachSite(b *testing.B, f func(b *testing.B, c *config.Configuration)) {
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -21,6 +21,7 @@
 	Zones     map[carawaycart.ZoneID]carawaycart.Zone            `json:"zones"`
 	Slots     map[carawaycart.ServiceID]carawaycart.SlotTable    `json:"slots"`
 	members   map[carawaycart.ServiceID][]carawaycart.EndpointID // endpoints of each service, sorted
+	work      *work                                              // during Apply only
 }
 
 // Settlement is the After value of a change of kind settle: bases without flows
@@ -128,7 +129,7 @@
 		v, ok = lookup(c.Endpoints, carawaycart.EndpointID(name))
 	case carawaycart.KindZone:
 		v, ok = lookup(c.Zones, carawaycart.ZoneID(name))
-	case carawaycart.KindSettle:
+	case carawaycart.KindSettle, carawaycart.KindBundle:
 	default:
 		return nil, errors.NotValidf("object kind %q", kind)
 	}
@@ -150,27 +151,100 @@
 		return nil, errors.NotValidf("revision %d after %d", change.Revision, c.Revision)
 	}
 	n := *c
-	var err error
+	n.work = &work{touched: make(map[carawaycart.ServiceID]struct{})}
+	if err := n.applyObject(change); err != nil {
+		return nil, errors.Annotatef(err, "revision %d", change.Revision)
+	}
+	own(&n.Slots, &n.work.slots)
+	for id := range n.work.touched {
+		n.reassign(id)
+	}
+	n.work = nil
+	n.Revision = change.Revision
+	n.LastID = change.ID
+	return &n, nil
+}
+
+// work is what Apply keeps track of: the maps that are the new configuration's
+// own, and the services whose slots must be assigned anew.
+type work struct {
+	profiles, services, endpoints, zones, slots, members bool
+
+	touched map[carawaycart.ServiceID]struct{}
+}
+
+// own replaces a map that is shared with the previous configuration by a copy.
+func own[K comparable, V any](m *map[K]V, owned *bool) {
+	if !*owned {
+		*m = maps.Clone(*m)
+		*owned = true
+	}
+}
+
+// applyObject changes c, and notes the services whose slots must be assigned
+// anew.
+func (c *Configuration) applyObject(change carawaycart.Change) error {
 	switch change.Kind {
 	case carawaycart.KindProfile:
-		err = n.applyProfile(change)
+		return c.applyProfile(change)
 	case carawaycart.KindService:
-		err = n.applyService(change)
+		return c.applyService(change)
 	case carawaycart.KindEndpoint:
-		err = n.applyEndpoint(change)
+		return c.applyEndpoint(change)
 	case carawaycart.KindZone:
-		err = n.applyZone(change)
+		return c.applyZone(change)
+	case carawaycart.KindBundle:
+		return c.applyBundle(change)
 	case carawaycart.KindSettle:
-		err = n.applySettle(change)
-	default:
-		err = errors.NotValidf("object kind %q", change.Kind)
+		return c.applySettle(change)
+	}
+	return errors.NotValidf("object kind %q", change.Kind)
+}
+
+// Bundle is the After value of a change of kind bundle: objects to create or
+// replace. Endpoints of a service that is new take its slots at once, without
+// the handover that endpoints added one after another need.
+type Bundle struct {
+	Profiles  []carawaycart.Profile  `json:"profiles,omitempty"`
+	Zones     []carawaycart.Zone     `json:"zones,omitempty"`
+	Services  []carawaycart.Service  `json:"services,omitempty"`
+	Endpoints []carawaycart.Endpoint `json:"endpoints,omitempty"`
+}
+
+func (c *Configuration) applyBundle(change carawaycart.Change) error {
+	var b Bundle
+	if _, err := decode(change, &b); err != nil {
+		return err
 	}
+	for _, p := range b.Profiles {
+		if err := c.applyOne(carawaycart.KindProfile, string(p.Name), p); err != nil {
+			return err
+		}
+	}
+	for _, z := range b.Zones {
+		if err := c.applyOne(carawaycart.KindZone, string(z.ID), z); err != nil {
+			return err
+		}
+	}
+	for _, s := range b.Services {
+		if err := c.applyOne(carawaycart.KindService, string(s.ID), s); err != nil {
+			return err
+		}
+	}
+	for _, e := range b.Endpoints {
+		if err := c.applyOne(carawaycart.KindEndpoint, string(e.ID), e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Configuration) applyOne(kind carawaycart.ObjectKind, name string, object any) error {
+	after, err := json.Marshal(object)
 	if err != nil {
-		return nil, errors.Annotatef(err, "revision %d", change.Revision)
+		return errors.Annotatef(err, "%s %s", kind, name)
 	}
-	n.Revision = change.Revision
-	n.LastID = change.ID
-	return &n, nil
+	return c.applyObject(carawaycart.Change{Kind: kind, Name: name, After: after})
 }
 
 // Next returns the configuration that follows c by change. A change that Apply
@@ -210,7 +284,7 @@
 		return err
 	}
 	name := carawaycart.ProfileName(change.Name)
-	c.Profiles = maps.Clone(c.Profiles)
+	own(&c.Profiles, &c.work.profiles)
 	if deleted {
 		for id, s := range c.Services {
 			if s.Profile == name {
@@ -237,8 +311,8 @@
 		return err
 	}
 	id := carawaycart.ServiceID(change.Name)
-	c.Services = maps.Clone(c.Services)
-	c.Slots = maps.Clone(c.Slots)
+	own(&c.Services, &c.work.services)
+	own(&c.Slots, &c.work.slots)
 	if deleted {
 		if len(c.members[id]) > 0 {
 			return errors.NotValidf("deletion of service %s, which has endpoints", id)
@@ -281,8 +355,8 @@
 			return err
 		}
 	}
-	c.Endpoints = maps.Clone(c.Endpoints)
-	c.members = maps.Clone(c.members)
+	own(&c.Endpoints, &c.work.endpoints)
+	own(&c.members, &c.work.members)
 	members := slices.DeleteFunc(slices.Clone(c.members[e.Service]), func(m carawaycart.EndpointID) bool { return m == id })
 	if deleted {
 		delete(c.Endpoints, id)
@@ -292,8 +366,7 @@
 		slices.Sort(members)
 	}
 	c.members[e.Service] = members
-	c.Slots = maps.Clone(c.Slots)
-	c.reassign(e.Service)
+	c.work.touched[e.Service] = struct{}{}
 	return nil
 }
 
@@ -313,12 +386,11 @@
 	if err := ValidateName(string(z.ID)); err != nil {
 		return errors.Annotate(err, "zone")
 	}
-	c.Zones = maps.Clone(c.Zones)
+	own(&c.Zones, &c.work.zones)
 	c.Zones[id] = z
-	c.Slots = maps.Clone(c.Slots)
 	for s, members := range c.members {
 		if slices.ContainsFunc(members, func(e carawaycart.EndpointID) bool { return c.Endpoints[e].Zone == id }) {
-			c.reassign(s)
+			c.work.touched[s] = struct{}{}
 		}
 	}
 	return nil
@@ -334,7 +406,7 @@
 	if !ok {
 		return errors.NotFoundf("service %s", id)
 	}
-	c.Slots = maps.Clone(c.Slots)
+	own(&c.Slots, &c.work.slots)
 	for _, m := range s.Moves {
 		t = slot.Settle(t, m.Base, m.Current, m.Slots)
 	}
@@ -356,27 +428,3 @@
 	t = slot.Reassign(t, candidates)
 	c.Slots[id] = slot.Rebase(t, func(e carawaycart.EndpointID) bool { return !c.Holding(e) })
 }
-
-// With returns c with the given services and endpoints besides its own, all in
-// force at once: every slot's base is its current endpoint. The objects must be
-// valid; the revision stays.
-func (c *Configuration) With(services map[carawaycart.ServiceID]carawaycart.Service,
-	endpoints map[carawaycart.EndpointID]carawaycart.Endpoint,
-) *Configuration {
-	n := *c
-	n.Services = maps.Clone(c.Services)
-	n.Endpoints = maps.Clone(c.Endpoints)
-	n.Slots = maps.Clone(c.Slots)
-	n.members = make(map[carawaycart.ServiceID][]carawaycart.EndpointID)
-	maps.Copy(n.Services, services)
-	maps.Copy(n.Endpoints, endpoints)
-	for id, e := range n.Endpoints {
-		n.members[e.Service] = append(n.members[e.Service], id)
-	}
-	for id := range services {
-		slices.Sort(n.members[id])
-		n.Slots[id] = slot.New(slot.Count(len(n.members[id])))
-		n.reassign(id)
-	}
-	return &n
-}
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -148,6 +148,33 @@
 	}
 }
 
+// Endpoints added one after another leave slots with the first one's base;
+// those of one bundle do not.
+func TestBundleStartsClean(t *testing.T) {
+	c, err := apply(config.New(), carawaycart.KindBundle, "site", config.Bundle{
+		Zones: []carawaycart.Zone{{ID: "a"}, {ID: "b"}},
+		Services: []carawaycart.Service{{
+			ID: "desk", Address: netip.MustParseAddrPort("192.0.2.1:443"), Profile: "gentle",
+		}},
+		Endpoints: []carawaycart.Endpoint{endpoint("e1", "a"), endpoint("e2", "b")},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []carawaycart.EndpointID{"e1", "e2"} {
+		if b, n := owners(c, bases)[id], owners(c, currents)[id]; b != n || n == 0 {
+			t.Errorf("%s: got %d bases and %d slots, want the same", id, b, n)
+		}
+	}
+	bad := config.Bundle{Zones: []carawaycart.Zone{{ID: "c"}}, Endpoints: []carawaycart.Endpoint{endpoint("e3", "nowhere")}}
+	if n, err := apply(c, carawaycart.KindBundle, "site", bad); n != nil || !errors.Is(err, errors.NotFound) {
+		t.Errorf("got %v, %v; want a bundle with one bad object refused as a whole", n, err)
+	}
+	if _, ok := c.Zones["c"]; ok {
+		t.Error("a refused bundle left an object behind")
+	}
+}
+
 func TestSnapshotRoundTrip(t *testing.T) {
 	c := site(t)
 	data, err := c.Encode()
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -236,3 +236,19 @@
 		t.Errorf("got %q, want the whole answer", got)
 	}
 }
+
+// A free TCP port may be taken for UDP.
+func TestOpenFindsPortsThatBothProtocolsHave(t *testing.T) {
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	for range 200 {
+		o, err := balancer.Open(settings.Settings{Fabric: any, Request: any, Peer: any, Operator: any})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(o.Close)
+		tcp, udp := o.Peer.Addr().(*net.TCPAddr).Port, o.Relay.LocalAddr().(*net.UDPAddr).Port
+		if tcp != udp {
+			t.Fatalf("got TCP port %d and UDP port %d, want the same", tcp, udp)
+		}
+	}
+}
--- a/internal/balancer/sockets.go
+++ b/internal/balancer/sockets.go
@@ -16,6 +16,9 @@
 // does not fit is lost.
 const udpBuffer = 4 << 20
 
+// pairTries is how often a free port is looked for that both TCP and UDP have.
+const pairTries = 20
+
 // Sockets are the open sockets of an instance.
 type Sockets struct {
 	Fabric   *net.UDPConn
@@ -30,12 +33,12 @@
 func Open(s settings.Settings) (*Sockets, error) {
 	o := &Sockets{}
 	var err error
-	if o.Peer, err = listen(s.Peer, "peer"); err != nil {
-		return nil, err
+	for range pairTries {
+		if err = o.openPeer(s.Peer); err == nil || s.Peer.Port() != 0 {
+			break
+		}
 	}
-	peer := o.Peer.Addr().(*net.TCPAddr).AddrPort()
-	if o.Relay, err = listenUDP(netip.AddrPortFrom(s.Peer.Addr(), peer.Port()), "peer"); err != nil {
-		o.Close()
+	if err != nil {
 		return nil, err
 	}
 	if o.Fabric, err = listenUDP(s.Fabric, "fabric"); err != nil {
@@ -53,6 +56,20 @@
 	return o, nil
 }
 
+// openPeer opens the TCP and UDP sockets for peers with one port number.
+func (o *Sockets) openPeer(a netip.AddrPort) error {
+	var err error
+	if o.Peer, err = listen(a, "peer"); err != nil {
+		return err
+	}
+	port := o.Peer.Addr().(*net.TCPAddr).AddrPort().Port()
+	if o.Relay, err = listenUDP(netip.AddrPortFrom(a.Addr(), port), "peer"); err != nil {
+		_ = o.Peer.Close()
+		o.Peer = nil
+	}
+	return err
+}
+
 func listen(a netip.AddrPort, name string) (net.Listener, error) {
 	l, err := net.Listen("tcp", a.String())
 	return l, errors.Annotatef(err, "listen for %s", name)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"carawaycart"
+	"carawaycart/core/config"
 	"carawaycart/internal/admin"
 	"carawaycart/internal/standin"
 )
@@ -113,41 +114,22 @@
 		Name: demoProfile, ColdFlows: 20, ColdRequests: 1, WarmupSeconds: 5, DrainSeconds: 600, FlowIdleSeconds: 5,
 		RequestSeconds: 5, QueueSeconds: 2, RetryPercent: 20, SpillPercent: 10, AnswerSeconds: 600,
 	}
-	changes := []func() (carawaycart.Change, error){
-		func() (carawaycart.Change, error) {
-			return d.admin.Put(ctx, carawaycart.KindProfile, string(demoProfile), profile)
-		},
-	}
+	bundle := config.Bundle{Profiles: []carawaycart.Profile{profile}}
 	for _, z := range site.Zones {
-		changes = append(changes, func() (carawaycart.Change, error) {
-			return d.admin.Put(ctx, carawaycart.KindZone, string(z), carawaycart.Zone{ID: z})
-		})
+		bundle.Zones = append(bundle.Zones, carawaycart.Zone{ID: z})
 	}
 	for _, s := range []standin.SiteService{site.Main, site.Intake} {
-		changes = append(changes, func() (carawaycart.Change, error) {
-			return d.admin.Put(ctx, carawaycart.KindService, string(s.ID),
-				carawaycart.Service{ID: s.ID, Address: s.Address, Profile: demoProfile})
-		})
+		bundle.Services = append(bundle.Services, carawaycart.Service{ID: s.ID, Address: s.Address, Profile: demoProfile})
 		for i := range s.Hosts {
 			h, err := d.addHost(s, i)
 			if err != nil {
 				return 0, err
 			}
-			e := h.Endpoint()
-			changes = append(changes, func() (carawaycart.Change, error) {
-				return d.admin.Put(ctx, carawaycart.KindEndpoint, string(e.ID), e)
-			})
-		}
-	}
-	var revision carawaycart.Revision
-	for _, change := range changes {
-		c, err := change()
-		if err != nil {
-			return 0, err
+			bundle.Endpoints = append(bundle.Endpoints, h.Endpoint())
 		}
-		revision = c.Revision
 	}
-	return revision, nil
+	c, err := d.admin.Put(ctx, carawaycart.KindBundle, site.Name, bundle)
+	return c.Revision, err
 }
 
 func (d *Demo) addHost(s standin.SiteService, i int) (*standin.Host, error) {
