Forward nothing after a pause until peers have told what changed

Cause: an instance that was paused and goes on forwards by a table that may be older than the fleet's; a slot may since have become guarded or moved. Decisions of a keeper were already withheld, plain forwarding was not. Change: after a pause of over a second every packet is dropped until a peer has sent configuration and fleet; callers repeat packets through other instances. Conclusion: a frozen instance can no longer send packets by an old view.

--- a/cmd/carawaycart/standin.go
+++ b/cmd/carawaycart/standin.go
@@ -19,6 +19,7 @@
 	site := flags.String("site", "froepapir", "customer whose sizes to use, froepapir or brunnhalder")
 	dir := flags.String("dir", ".", "`directory` to write the settings files of the instances to")
 	instances := flags.Int("instances", 3, "how many settings files to write")
+	log := flags.String("log", "", "`file` to write logs to, among them each broken flow")
 	port := flags.Int("port", 21000, "first of the instances' ports")
 	return newCommand(stderr, "standin", "carawaycart standin [-site NAME] [-dir DIR] [-instances N]",
 		"Run the stand-ins alone, for instances that are started by hand.", flags,
@@ -30,16 +31,16 @@
 			if err != nil {
 				return usagef("standin: %v", err)
 			}
+			closeLogs, err := quietLogs(*log)
+			if err != nil {
+				return err
+			}
+			defer closeLogs()
 			return runStandins(ctx, s, *dir, *instances, *port, stdout)
 		})
 }
 
 func runStandins(ctx context.Context, site standin.Site, dir string, instances, port int, stdout io.Writer) error {
-	closeLogs, err := quietLogs("")
-	if err != nil {
-		return err
-	}
-	defer closeLogs()
 	by, err := demo.NewBystander(ctx, site, demo.ExternalInstances(site, instances, port))
 	if err != nil {
 		return err
--- a/core/board/board.go
+++ b/core/board/board.go
@@ -79,11 +79,11 @@
 	return 0
 }
 
-// StayAwake lets the instance decide as a keeper until deadline. An instance
-// that was paused past its deadline has to learn first whether it was replaced.
+// StayAwake lets the instance decide until deadline. An instance that was paused
+// past its deadline has to learn first what changed and whether it was replaced.
 func (b *Board) StayAwake(deadline time.Time) { b.awake.Store(deadline.UnixNano()) }
 
-// Awake reports whether the instance may decide as a keeper at now.
+// Awake reports whether the instance may decide at now.
 func (b *Board) Awake(now time.Time) bool { return now.UnixNano() < b.awake.Load() }
 
 // Entry returns the entry of endpoint id, made at the first call.
--- a/core/flow/router.go
+++ b/core/flow/router.go
@@ -23,7 +23,7 @@
 // unless it records a new flow.
 func (r *Router) Decide(p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	view := r.board.View()
-	if view == nil {
+	if view == nil || !r.board.Awake(now) {
 		return drop(carawaycart.CauseNotReady)
 	}
 	route := view.Service(p.Key.Service)
@@ -69,8 +69,6 @@
 		return relay(holders.Keeper)
 	case !holders.Contains(r.board.Self):
 		return drop(carawaycart.CauseNotKeeper)
-	case !r.board.Awake(now):
-		return drop(carawaycart.CauseNotReady)
 	}
 	last := p.Kind == carawaycart.PacketLast
 	if owner, ok := r.records.Owner(f, now, last); ok && view.Config.Holding(owner) {
@@ -95,8 +93,6 @@
 		return relay(keeper)
 	case keeper != r.board.Self:
 		return drop(carawaycart.CauseNotKeeper)
-	case !r.board.Awake(now):
-		return drop(carawaycart.CauseNotReady)
 	}
 	if owner, ok := r.records.Open(f, now); ok {
 		if view.Config.Holding(owner) {
--- a/core/flow/router_test.go
+++ b/core/flow/router_test.go
@@ -301,6 +301,18 @@
 	}
 }
 
+// A paused instance may have missed that a slot is no longer clean.
+func TestPausedInstanceForwardsNothing(t *testing.T) {
+	f := newFixture(t, 4, 4)
+	f.boards["i00"].StayAwake(start)
+	for i := range 100 {
+		p := packet(i, carawaycart.PacketMiddle)
+		if d := f.routers["i00"].Decide(&p, start); d.Verdict != carawaycart.VerdictDrop || d.Cause != carawaycart.CauseNotReady {
+			t.Fatalf("packet %d: got verdict %d with cause %s, want a drop for notReady", i, d.Verdict, d.Cause)
+		}
+	}
+}
+
 func empty() (*board.Board, *flow.Router) {
 	b := board.New("i00")
 	return b, flow.NewRouter(b, flow.NewRecords())
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -51,6 +51,7 @@
 	last     time.Time
 	patience time.Time // when an instance joins although the list does not show it
 	joining  atomic.Bool
+	stale    atomic.Bool // paused, and nothing heard from peers since
 	loop     *loop
 }
 
@@ -87,16 +88,20 @@
 		m.rejoin()
 		return
 	}
-	m.board.StayAwake(now.Add(awakePeriod))
+	if !m.stale.Load() {
+		m.board.StayAwake(now.Add(awakePeriod))
+	}
 	m.table.Tick(now)
 	m.board.Tick(now)
 	m.spreader.Wake()
 }
 
-// rejoin gives up all duties after a pause; the join goroutine fetches state anew.
+// rejoin gives up all duties after a pause, and forwards nothing until peers
+// have told what changed; the join goroutine fetches state anew.
 func (m *Membership) rejoin() {
 	klog.InfoS("paused too long, joining again", "instance", m.board.Self)
 	m.counters.Rejoins.Inc(1)
+	m.stale.Store(true)
 	m.joining.Store(true)
 	m.table.SetState(carawaycart.MemberJoining)
 	m.spreader.Wake()
@@ -165,7 +170,9 @@
 	if !m.greet(ctx) && m.clock.Now().Before(m.patience) {
 		return false
 	}
-	m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Fleet: true}, pullSources)
+	if m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Fleet: true}, pullSources) {
+		m.stale.Store(false)
+	}
 	if m.board.View() == nil {
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
@@ -224,13 +231,15 @@
 }
 
 // pull fetches from ready peers what request asks for, until as many as sources
-// have answered.
-func (m *Membership) pull(ctx context.Context, request *message.PullRequest, sources int) {
+// have answered. It reports whether any has, or there is none to ask.
+func (m *Membership) pull(ctx context.Context, request *message.PullRequest, sources int) bool {
+	heard, asked := false, false
 	request.Self = message.FromMember(m.table.Self())
 	for _, p := range m.board.Members().Ready() {
 		if p.ID == m.board.Self {
 			continue
 		}
+		asked = true
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		reply := &message.PullReply{}
 		err := m.client.Call(call, p.Address, "Pull", request, reply)
@@ -247,10 +256,12 @@
 		}
 		m.replicator.TakeRecords(reply.GetRecords())
 		m.replicator.TakeClaims(reply.GetClaims())
+		heard = true
 		if sources--; sources == 0 {
-			return
+			break
 		}
 	}
+	return heard || !asked
 }
 
 // Leave hands the instance's duties over and tells the peers that it left; the
