Cut off stalled bodies; let stand-ins obey deadlines, cancellation and mislead

Cause: a caller could hold a request open by sending its body slowly, up to the server's patience with headers only. The stand-in endpoints ignored deadlines and cancellation, and their reports could lag but not mislead. Figures: tests for the stalled body (refused with bodyCutOff, nothing sent on), the deadline passed on, and the cancellation.

--- a/cmd/carawaycart/standin.go
+++ b/cmd/carawaycart/standin.go
@@ -41,19 +41,19 @@
 }
 
 func runStandins(ctx context.Context, site standin.Site, dir string, instances, port int, stdout io.Writer) error {
-	by, err := demo.NewBystander(ctx, site, demo.ExternalInstances(site, instances, port))
+	environment, err := demo.NewEnvironment(ctx, site, demo.ExternalInstances(site, instances, port))
 	if err != nil {
 		return err
 	}
-	defer by.Close()
-	for _, i := range by.Instances() {
+	defer environment.Close()
+	for _, i := range environment.Instances() {
 		path := filepath.Join(dir, string(i.ID)+".ini")
-		if err := os.WriteFile(path, []byte(by.Settings(i)), 0o644); err != nil {
+		if err := os.WriteFile(path, []byte(environment.Settings(i)), 0o644); err != nil {
 			return errors.Annotate(err, "write settings")
 		}
 		_, _ = fmt.Fprintf(stdout, "carawaycart balancer -config %s\n", path)
 	}
-	_, _ = fmt.Fprintf(stdout, "store: %s\nstop with an interrupt, which prints what arrived\n", by.StoreURL())
-	by.Run(ctx)
-	return by.Report(stdout)
+	_, _ = fmt.Fprintf(stdout, "store: %s\nstop with an interrupt, which prints what arrived\n", environment.StoreURL())
+	environment.Run(ctx)
+	return environment.Report(stdout)
 }
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -107,15 +107,6 @@
 // Len returns the number of instances in the view.
 func (v *View) Len() int { return len(v.ready) + len(v.joining) }
 
-// Zones returns how many zones have a ready instance.
-func (v *View) Zones() int {
-	zones := make(map[carawaycart.ZoneID]struct{})
-	for _, p := range v.ready {
-		zones[p.Zone] = struct{}{}
-	}
-	return len(zones)
-}
-
 // HasZone reports whether zone has a ready instance.
 func (v *View) HasZone(zone carawaycart.ZoneID) bool {
 	return slices.ContainsFunc(v.ready, func(p Peer) bool { return p.Zone == zone })
--- a/interfaces.go
+++ b/interfaces.go
@@ -54,9 +54,3 @@
 	// Report returns the endpoint's current report.
 	Report(ctx context.Context, address netip.AddrPort) (Report, error)
 }
-
-// Forwarder sends encapsulated packets on.
-type Forwarder interface {
-	// Forward sends datagram unchanged to address.
-	Forward(datagram []byte, address netip.AddrPort)
-}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -215,6 +216,71 @@
 	})
 }
 
+func TestDeadlinesAndCancellation(t *testing.T) {
+	r := newRig(t)
+	url := "http://" + r.instance.RequestAddress().String() + "/order"
+
+	t.Run("the endpoint learns how long the caller still waits", func(t *testing.T) {
+		var left atomic.Int64
+		r.serve(func(_ http.ResponseWriter, q *http.Request) {
+			ms, _ := strconv.Atoi(q.Header.Get(caller.TimeoutHeader))
+			left.Store(int64(ms))
+		})
+		q, _ := http.NewRequest("GET", url, nil)
+		q.Host = "desk"
+		q.Header.Set(caller.TimeoutHeader, "5000")
+		response, err := http.DefaultClient.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if ms := left.Load(); ms <= 0 || ms > 5000 {
+			t.Errorf("got %d ms passed on, want at most the caller's 5000", ms)
+		}
+	})
+
+	t.Run("a caller's cancellation reaches the endpoint", func(t *testing.T) {
+		entered, cancelled := make(chan struct{}), make(chan struct{})
+		r.serve(func(_ http.ResponseWriter, q *http.Request) {
+			close(entered)
+			<-q.Context().Done()
+			close(cancelled)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		q, _ := http.NewRequestWithContext(ctx, "GET", url, nil)
+		q.Host = "desk"
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if response, err := http.DefaultClient.Do(q); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+		<-entered
+		cancel()
+		<-cancelled
+		<-done
+	})
+
+	t.Run("a body that stalls is cut off", func(t *testing.T) {
+		before := r.runs.Load()
+		conn, err := net.Dial("tcp", r.instance.RequestAddress().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "POST /order HTTP/1.1\r\nHost: desk\r\nIdempotency-Key: slow\r\n"+
+			"Request-Timeout-Ms: 100\r\nContent-Length: 10\r\n\r\nhalf")
+		answer, err := io.ReadAll(conn)
+		if err != nil || !strings.Contains(string(answer), "bodyCutOff") {
+			t.Errorf("got %q, %v; want a refusal for bodyCutOff", answer, err)
+		}
+		if n := r.runs.Load() - before; n != 0 {
+			t.Errorf("got %d requests sent on, want none", n)
+		}
+	})
+}
+
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	r := newRig(t)
 	entered := make(chan struct{})
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -62,6 +62,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	// A caller that sends its body too slowly is cut off; where the connection has
+	// no deadlines, as in tests without one, that is left out.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	job := &job{request: r, query: query, route: route, deadline: deadline}
 	if query.Key != "" && !query.Idempotent {
 		d.serveOrder(ctx, w, job)
--- a/internal/demo/bystander.go
+++ b/internal/demo/environment.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"time"
 
@@ -13,8 +14,11 @@
 	"carawaycart/io/platform"
 )
 
-// portsPerInstance is how many ports an external instance takes.
-const portsPerInstance = 10
+const (
+	portsPerInstance = 10 // ports that an external instance takes
+	checkPeriod      = 500 * time.Millisecond
+	checkTimeout     = 200 * time.Millisecond
+)
 
 // ExternalInstance is an instance that somebody else starts.
 type ExternalInstance struct {
@@ -42,14 +46,15 @@
 	return instances
 }
 
-// Bystander runs the stand-ins and their load for external instances.
-type Bystander struct {
+// Environment runs the stand-ins and their load for external instances.
+type Environment struct {
 	demo      *Demo
 	instances []ExternalInstance
+	up        map[carawaycart.InstanceID]bool
 }
 
-// NewBystander starts the stand-ins of a site and writes its configuration.
-func NewBystander(ctx context.Context, site standin.Site, instances []ExternalInstance) (*Bystander, error) {
+// NewEnvironment starts the stand-ins of a site and writes its configuration.
+func NewEnvironment(ctx context.Context, site standin.Site, instances []ExternalInstance) (*Environment, error) {
 	options := DefaultOptions(site)
 	d, err := newDemo(options)
 	if err != nil {
@@ -59,12 +64,7 @@
 		d.fleet.Close()
 		return nil, err
 	}
-	for _, i := range instances {
-		d.fleet.List.Add(carawaycart.ListedInstance{ID: i.ID, Zone: i.Zone, PeerAddress: i.Peer})
-		d.fleet.Fabric.Add(i.ID, i.Fabric)
-		d.fleet.Orders.Add(standin.OrderTarget{ID: i.ID, Address: i.Request})
-	}
-	return &Bystander{demo: d, instances: instances}, nil
+	return &Environment{demo: d, instances: instances, up: make(map[carawaycart.InstanceID]bool)}, nil
 }
 
 // newDemo returns a demo whose stand-ins run, without hosts or instances.
@@ -86,29 +86,67 @@
 }
 
 // Instances returns the external instances.
-func (b *Bystander) Instances() []ExternalInstance { return b.instances }
+func (e *Environment) Instances() []ExternalInstance { return e.instances }
 
 // StoreURL returns the address of the store.
-func (b *Bystander) StoreURL() string { return b.demo.fleet.Store.URL() }
+func (e *Environment) StoreURL() string { return e.demo.fleet.Store.URL() }
 
 // Settings returns the text of an instance's settings file.
-func (b *Bystander) Settings(i ExternalInstance) string {
+func (e *Environment) Settings(i ExternalInstance) string {
 	return fmt.Sprintf("[instance]\nid = %s\nzone = %s\n\n[listen]\nfabric = %s\nrequest = %s\npeer = %s\noperator = %s\n\n"+
 		"[platform]\nstore = %s\nlist = %s\n",
-		i.ID, i.Zone, i.Fabric, i.Request, i.Peer, i.Operator, b.demo.fleet.Store.URL(), b.demo.fleet.List.URL())
+		i.ID, i.Zone, i.Fabric, i.Request, i.Peer, i.Operator, e.demo.fleet.Store.URL(), e.demo.fleet.List.URL())
 }
 
 // Run keeps the load going until ctx ends.
-func (b *Bystander) Run(ctx context.Context) {
-	b.demo.startLoad(ctx)
-	b.demo.callers.Wait()
+func (e *Environment) Run(ctx context.Context) {
+	e.demo.startLoad(ctx)
+	ticker := time.NewTicker(checkPeriod)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		e.check()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	e.demo.callers.Wait()
+}
+
+// check lets the fabric, callers and the list use the instances that accept
+// connections, as the platform's health checks would.
+func (e *Environment) check() {
+	f := e.demo.fleet
+	for _, i := range e.instances {
+		up := accepts(i.Request)
+		switch {
+		case up && !e.up[i.ID]:
+			f.List.Add(carawaycart.ListedInstance{ID: i.ID, Zone: i.Zone, PeerAddress: i.Peer})
+			f.Fabric.Add(i.ID, i.Fabric)
+			f.Orders.Add(standin.OrderTarget{ID: i.ID, Address: i.Request})
+		case !up && e.up[i.ID]:
+			f.List.Remove(i.ID)
+			f.Fabric.Remove(i.ID)
+			f.Orders.Remove(i.ID)
+		}
+		e.up[i.ID] = up
+	}
+}
+
+func accepts(address netip.AddrPort) bool {
+	conn, err := net.DialTimeout("tcp", address.String(), checkTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
 
 // Report writes what the stand-ins saw.
-func (b *Bystander) Report(w io.Writer) error {
-	b.demo.finish()
-	return b.demo.report.Write(w)
+func (e *Environment) Report(w io.Writer) error {
+	e.demo.finish()
+	return e.demo.report.Write(w)
 }
 
 // Close stops the stand-ins.
-func (b *Bystander) Close() { b.demo.fleet.Close() }
+func (e *Environment) Close() { e.demo.fleet.Close() }
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -54,6 +55,7 @@
 	coldOpened int
 	requests   int
 	silent     bool
+	mislead    func(*carawaycart.Report)
 	reports    []timedReport
 
 	done sync.WaitGroup
@@ -128,6 +130,13 @@
 	h.silent = silent
 }
 
+// SetMislead lets change alter every report before it is sent; nil ends that.
+func (h *Host) SetMislead(change func(*carawaycart.Report)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.mislead = change
+}
+
 // Flows returns how many flows are established.
 func (h *Host) Flows() int {
 	h.mu.Lock()
@@ -140,7 +149,7 @@
 
 func (h *Host) cold(now time.Time) bool { return now.Before(h.coldUntil) }
 
-// overloaded reports whether the cold host has been so for long enough that the
+// mustBeSpared reports whether the cold host has been so for long enough that the
 // balancer must know.
 func (h *Host) mustBeSpared(now time.Time) bool {
 	return h.cold(now) && now.Sub(h.coldSince) >= coldGrace
@@ -247,6 +256,9 @@
 	if len(h.reports) > 0 {
 		report = h.reports[0].report
 	}
+	if h.mislead != nil {
+		h.mislead(&report)
+	}
 	h.mu.Unlock()
 	if silent {
 		http.Error(w, "silent", http.StatusServiceUnavailable)
@@ -267,7 +279,7 @@
 	if r.Host != string(h.config.Service) {
 		h.ledger.Count(func(t *Totals) { t.PacketsToWrongService++ })
 	}
-	if !h.admit(now) {
+	if !h.inTime(r) || !h.admit(now) {
 		w.Header().Set(endpoint.NotRunHeader, "1")
 		http.Error(w, "no room", http.StatusServiceUnavailable)
 		return
@@ -281,7 +293,9 @@
 	if r.Method == http.MethodPost && key != "" {
 		h.ledger.run(key)
 	}
-	time.Sleep(serviceTime)
+	if !work(r.Context()) {
+		return // the caller has gone; the order counts as run all the same
+	}
 	answer := OrderAnswer{Key: key, Host: h.config.ID, Size: len(body)}
 	data, err := json.Marshal(answer)
 	if err != nil {
@@ -292,6 +306,29 @@
 	_, _ = w.Write(data)
 }
 
+// inTime reports whether the request can be run within the time that its caller
+// will wait.
+func (h *Host) inTime(r *http.Request) bool {
+	text := r.Header.Get(caller.TimeoutHeader)
+	if text == "" {
+		return true
+	}
+	ms, err := strconv.Atoi(text)
+	return err == nil && time.Duration(ms)*time.Millisecond >= serviceTime
+}
+
+// work takes serviceTime and reports whether it was not cancelled.
+func work(ctx context.Context) bool {
+	timer := time.NewTimer(serviceTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // admit takes a slot, or sheds the request.
 func (h *Host) admit(now time.Time) bool {
 	if h.ledger.marked(string(h.config.ID), now) {
