--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -239,7 +239,7 @@
 		}
 	})
 
-	t.Run("a caller's cancellation reaches the endpoint", func(t *testing.T) {
+	t.Run("a caller's cancellation reaches the endpoint", func(*testing.T) {
 		entered, cancelled := make(chan struct{}), make(chan struct{})
 		r.serve(func(_ http.ResponseWriter, q *http.Request) {
 			close(entered)
