--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -63,7 +63,8 @@
 }
 
 // Begin takes in the attempt c at its keeper at now. With Run the claim is held
-// as pending; with Known the claim held is returned.
+// as pending; with Known the claim held is returned. An attempt that was given up
+// is refused for ever.
 func (t *Table) Begin(c carawaycart.Claim, now time.Time) (Verdict, carawaycart.Claim) {
 	s := t.shard(c.Key)
 	s.mu.Lock()
@@ -79,6 +80,10 @@
 		if old.State != carawaycart.ClaimNotRun {
 			return Known, old
 		}
+		if old.Attempt == c.Attempt {
+			// Replicas may yet be told that this attempt is not run.
+			return Refused, carawaycart.Claim{}
+		}
 	} else if t.uncertain(c.Key, now) {
 		return Uncertain, carawaycart.Claim{}
 	}
--- a/core/claim/table_test.go
+++ b/core/claim/table_test.go
@@ -40,6 +40,7 @@
 		{"earlier attempt answered", []carawaycart.Claim{in(attempt("a"), carawaycart.ClaimAnswered)}, attempt("b"), 0, claim.Known},
 		{"earlier attempt unknown", []carawaycart.Claim{in(attempt("a"), carawaycart.ClaimUnknown)}, attempt("b"), 0, claim.Known},
 		{"earlier attempt not run", []carawaycart.Claim{in(attempt("a"), carawaycart.ClaimNotRun)}, attempt("b"), 0, claim.Run},
+		{"an attempt that was given up", []carawaycart.Claim{in(attempt("a"), carawaycart.ClaimNotRun)}, attempt("a"), 0, claim.Refused},
 		{"key of another request", []carawaycart.Claim{in(attempt("a"), carawaycart.ClaimAnswered)}, other, 0, claim.Misused},
 		{"claim past its deadline", []carawaycart.Claim{in(attempt("a"), carawaycart.ClaimAnswered)}, attempt("b"), time.Hour, claim.Run},
 	} {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -120,18 +120,18 @@
 		return verdict, held
 	}
 	conflict, ok := o.copyOut(ctx, members, &holders, held)
-	switch {
-	case conflict != nil:
-		o.claims.Merge(withState(c, carawaycart.ClaimNotRun), now)
-		o.claims.Merge(*conflict, now)
-		return claim.Known, *conflict
-	case !ok || !o.board.Awake(o.clock.Now()):
-		refused := withState(c, carawaycart.ClaimNotRun)
-		o.claims.Merge(refused, now)
-		go o.copyOut(context.Background(), members, &holders, refused)
+	if conflict == nil && ok && o.board.Awake(o.clock.Now()) {
+		return claim.Run, held
+	}
+	// The attempt will not run, which the replicas that took its claim must learn.
+	refused := withState(c, carawaycart.ClaimNotRun)
+	o.claims.Merge(refused, now)
+	go o.copyOut(context.Background(), members, &holders, refused)
+	if conflict == nil {
 		return claim.Refused, carawaycart.Claim{}
 	}
-	return claim.Run, held
+	o.claims.Merge(*conflict, now)
+	return claim.Known, *conflict
 }
 
 // majority reports whether the instance reaches more than half of the zones in
