--- /dev/null
+++ b/core/board/board_test.go
@@ -0,0 +1,132 @@
+package board_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/board"
+	"carawaycart/core/config"
+)
+
+// next returns the configuration that follows c by putting object.
+func next(t *testing.T, c *config.Configuration, kind carawaycart.ObjectKind, name string, object any) *config.Configuration {
+	t.Helper()
+	after, err := json.Marshal(object)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := c.Apply(carawaycart.Change{Revision: c.Revision + 1, Kind: kind, Name: name, After: after})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func serviceAddress() netip.AddrPort { return netip.MustParseAddrPort("192.0.0.0:443") }
+
+// A revision's tables are followed after a second, and alone after two.
+func TestTablesActInSteps(t *testing.T) {
+	b := board.New("i1")
+	c := build(t, site{1, 4})
+	b.SetConfig(c, start)
+	old := b.View().Service(serviceAddress()).Active
+	e := c.Endpoints["endpoint-0"]
+	e.Mark = carawaycart.MarkLeaving
+	b.SetConfig(next(t, c, carawaycart.KindEndpoint, "endpoint-0", e), start)
+	var moved carawaycart.Fingerprint
+	for old.Slot(old.Index(moved)).Current.ID != "endpoint-0" {
+		moved++
+	}
+	for _, test := range []struct {
+		after          time.Duration
+		active, stable bool
+	}{
+		{0, false, false},
+		{999 * time.Millisecond, false, false},
+		{time.Second, true, false},
+		{1999 * time.Millisecond, true, false},
+		{2 * time.Second, true, true},
+	} {
+		b.Tick(start.Add(test.after))
+		r := b.View().Service(serviceAddress())
+		stable, baseStable := r.Stable(moved)
+		if active := r.Active != old; active != test.active || stable != test.stable || !baseStable {
+			t.Errorf("after %v: got active %t, stable %t, base stable %t; want %t, %t, true",
+				test.after, active, stable, baseStable, test.active, test.stable)
+		}
+	}
+}
+
+func TestOlderConfigurationIsRefused(t *testing.T) {
+	b := board.New("i1")
+	c := build(t, site{1, 4})
+	n := next(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0", Out: true})
+	b.SetConfig(n, start)
+	for _, old := range []*config.Configuration{c, n} {
+		if b.SetConfig(old, start) {
+			t.Errorf("revision %d replaced revision %d", old.Revision, n.Revision)
+		}
+	}
+	if b.Revision() != n.Revision {
+		t.Errorf("got revision %d, want %d", b.Revision(), n.Revision)
+	}
+}
+
+// Instances of a zone that is back decide nothing until they hold what they
+// will keep.
+func TestInstancesOfAZoneThatIsBackHoldReplicasFirst(t *testing.T) {
+	b := board.New("i1")
+	c := build(t, site{1, 4})
+	b.SetConfig(c, start)
+	var members []carawaycart.Member
+	for i := range 8 {
+		members = append(members, carawaycart.Member{
+			ID: carawaycart.InstanceID(fmt.Sprintf("i%d", i)), Zone: carawaycart.ZoneID(fmt.Sprintf("zone-%d", i%2)),
+			PeerAddress: netip.MustParseAddrPort("127.0.0.1:1"), State: carawaycart.MemberReady,
+		})
+	}
+	b.SetMembers(members)
+	check := func(when string, ready, total int) {
+		t.Helper()
+		if v := b.Members(); len(v.Ready()) != ready || v.Len() != total {
+			t.Errorf("%s: got %d ready of %d, want %d of %d", when, len(v.Ready()), v.Len(), ready, total)
+		}
+	}
+	check("in service", 8, 8)
+	c = next(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0", Out: true})
+	b.SetConfig(c, start)
+	check("out", 4, 4)
+	c = next(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0"})
+	b.SetConfig(c, start)
+	check("back", 4, 8)
+	b.Tick(start.Add(time.Second))
+	check("back for a second", 4, 8)
+	b.Tick(start.Add(2 * time.Second))
+	check("back for two seconds", 8, 8)
+}
+
+func TestNewerStatusWins(t *testing.T) {
+	status := func(v carawaycart.Version, keeper carawaycart.InstanceID, guarded bool) carawaycart.EndpointStatus {
+		return carawaycart.EndpointStatus{Endpoint: "e", Version: v, Keeper: keeper, Guarded: guarded}
+	}
+	for _, test := range []struct {
+		name  string
+		next  carawaycart.EndpointStatus
+		taken bool
+	}{
+		{"newer", status(6, "a", true), true},
+		{"older", status(4, "z", true), false},
+		{"same version, greater keeper", status(5, "c", true), true},
+		{"same version, lesser keeper", status(5, "a", true), false},
+	} {
+		e := board.New("i1").Entry("e")
+		e.MergeStatus(status(5, "b", false))
+		if got := e.MergeStatus(test.next); got != test.taken || e.Guarded() != test.taken {
+			t.Errorf("%s: got taken %t and guarded %t, want %t", test.name, got, e.Guarded(), test.taken)
+		}
+	}
+}
