Send a joining instance only what it will hold

Change: a peer sends the records and claims among whose holders it counts the newcomer, and all if it does not know it yet. What the newcomer holds as second replica follows by repair when it is ready.

--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -65,19 +65,44 @@
 		}
 		reply.Changes = append(reply.Changes, data)
 	}
+	newcomer := carawaycart.InstanceID(r.GetSelf().GetId())
 	if r.GetRecords() {
-		all := p.records.Append(nil, func(*carawaycart.FlowRecord) bool { return true })
-		reply.Records = message.FromRecords(all, nil)
+		reply.Records = message.FromRecords(p.recordsFor(newcomer), nil)
 	}
 	if r.GetClaims() {
 		reply.Claims = &message.ClaimBatch{}
-		for _, c := range p.claims.Append(nil, func(*carawaycart.Claim) bool { return true }) {
+		for _, c := range p.claimsFor(newcomer) {
 			reply.Claims.Claims = append(reply.Claims.Claims, message.FromClaim(c))
 		}
 	}
 	return reply, nil
 }
 
+// recordsFor returns the records that the newcomer will hold, or all if it is
+// not known here.
+func (p *Peers) recordsFor(newcomer carawaycart.InstanceID) []carawaycart.FlowRecord {
+	members, view := p.board.Members(), p.board.View()
+	_, known := members.Address(newcomer)
+	return p.records.Append(nil, func(r *carawaycart.FlowRecord) bool {
+		if !known || view == nil {
+			return true
+		}
+		h := holdersOf(view, members, r)
+		return h == nil || h.Contains(newcomer)
+	})
+}
+
+// claimsFor returns the claims that the newcomer will hold, or all if it is not
+// known here.
+func (p *Peers) claimsFor(newcomer carawaycart.InstanceID) []carawaycart.Claim {
+	members := p.board.Members()
+	_, known := members.Address(newcomer)
+	return p.claims.Append(nil, func(c *carawaycart.Claim) bool {
+		h := members.Holders(claim.Key(c.Key))
+		return !known || h.Contains(newcomer)
+	})
+}
+
 // Records takes in replicated flow records.
 func (p *Peers) Records(b *message.RecordBatch) error {
 	p.replicator.TakeRecords(b)
