Test a broken connection without a second bind

Cause: the test of a call after a restart bound the same port again and skipped itself if that failed, so it could pass without having tested. Change: the server's end of the connection is closed instead; the listener stays. Conclusion: the test can no longer skip itself.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -32,7 +32,7 @@
 
 func (noMeter) Sent(string, int) {}
 
-func serve(t *testing.T, h peer.Handler) (netip.AddrPort, *peer.Server) {
+func serve(t *testing.T, h peer.Handler) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,11 +43,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	return listener.Addr().(*net.TCPAddr).AddrPort(), s
+	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 func TestCall(t *testing.T) {
-	address, _ := serve(t, &echo{})
+	address := serve(t, &echo{})
 	client := peer.NewClient(noMeter{})
 	defer client.Close()
 	reply := &message.Exchange{}
@@ -64,7 +64,7 @@
 }
 
 func TestCallEndsAtItsDeadline(t *testing.T) {
-	address, _ := serve(t, &echo{delay: 200 * time.Millisecond})
+	address := serve(t, &echo{delay: 200 * time.Millisecond})
 	client := peer.NewClient(noMeter{})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
@@ -82,23 +82,38 @@
 	}
 }
 
-func TestCallAfterThePeerRestarted(t *testing.T) {
-	address, first := serve(t, &echo{})
-	client := peer.NewClient(noMeter{})
-	defer client.Close()
-	if err := client.Call(context.Background(), address, "Exchange", &message.Exchange{}, &message.Exchange{}); err != nil {
-		t.Fatal(err)
+// tracker is a listener that hands out the connections that it accepts.
+type tracker struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *tracker) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.conns <- conn
 	}
-	first.Close()
-	listener, err := net.Listen("tcp", address.String())
+	return conn, err
+}
+
+func TestCallAfterTheConnectionBroke(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Skip("the port was taken by another process:", err)
+		t.Fatal(err)
 	}
-	second, err := peer.NewServer(listener, &echo{}, noMeter{})
+	listener := &tracker{Listener: inner, conns: make(chan net.Conn, 2)}
+	server, err := peer.NewServer(listener, &echo{}, noMeter{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer second.Close()
+	defer server.Close()
+	address := inner.Addr().(*net.TCPAddr).AddrPort()
+	client := peer.NewClient(noMeter{})
+	defer client.Close()
+	if err := client.Call(context.Background(), address, "Exchange", &message.Exchange{}, &message.Exchange{}); err != nil {
+		t.Fatal(err)
+	}
+	_ = (<-listener.conns).Close()
 	if err := client.Call(context.Background(), address, "Exchange", &message.Exchange{}, &message.Exchange{}); err != nil {
 		t.Errorf("got %v, want the call made on a new connection", err)
 	}
@@ -106,7 +121,7 @@
 
 func TestServerOutlivesGarbage(t *testing.T) {
 	handler := &echo{}
-	address, _ := serve(t, handler)
+	address := serve(t, handler)
 	for _, garbage := range [][]byte{{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f}, []byte("GET / HTTP/1.1\r\n\r\n"), {3, 1, 2}} {
 		conn, err := net.Dial("tcp", address.String())
 		if err != nil {
