Take out a profile field that had no effect

Cause: spillPercent could be set and did nothing. Conclusion: every field of a profile does something.

--- a/config.go
+++ b/config.go
@@ -25,8 +25,6 @@
 	QueueSeconds Seconds `json:"queueSeconds"`
 	// RetryPercent is how many retries may be sent per hundred fresh requests.
 	RetryPercent int `json:"retryPercent"`
-	// SpillPercent is how far above the mean an endpoint's flows may grow.
-	SpillPercent int `json:"spillPercent"`
 	// AnswerSeconds is how long the answer to a keyed request is kept.
 	AnswerSeconds Seconds `json:"answerSeconds"`
 }
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -44,12 +44,12 @@
 	return []carawaycart.Profile{
 		{
 			Name: "gentle", ColdFlows: 20, ColdRequests: 1, WarmupSeconds: 60, DrainSeconds: 4 * 3600,
-			FlowIdleSeconds: 300, RequestSeconds: 30, QueueSeconds: 5, RetryPercent: 10, SpillPercent: 10,
+			FlowIdleSeconds: 300, RequestSeconds: 30, QueueSeconds: 5, RetryPercent: 10,
 			AnswerSeconds: 3600,
 		},
 		{
 			Name: "swift", ColdFlows: 100, ColdRequests: 1, WarmupSeconds: 10, DrainSeconds: 300,
-			FlowIdleSeconds: 60, RequestSeconds: 10, QueueSeconds: 1, RetryPercent: 20, SpillPercent: 25,
+			FlowIdleSeconds: 60, RequestSeconds: 10, QueueSeconds: 1, RetryPercent: 20,
 			AnswerSeconds: 600,
 		},
 	}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -71,7 +71,6 @@
 		{"requestSeconds", int(p.RequestSeconds), 1, maxSeconds},
 		{"queueSeconds", int(p.QueueSeconds), 0, maxSeconds},
 		{"retryPercent", p.RetryPercent, 0, maxPercent},
-		{"spillPercent", p.SpillPercent, 0, maxPercent},
 		{"answerSeconds", int(p.AnswerSeconds), 1, maxSeconds},
 	}), "profile %s", p.Name)
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -112,7 +112,7 @@
 	site := d.options.Site
 	profile := carawaycart.Profile{
 		Name: demoProfile, ColdFlows: 20, ColdRequests: 1, WarmupSeconds: 5, DrainSeconds: 600, FlowIdleSeconds: 5,
-		RequestSeconds: 5, QueueSeconds: 2, RetryPercent: 20, SpillPercent: 10, AnswerSeconds: 600,
+		RequestSeconds: 5, QueueSeconds: 2, RetryPercent: 20, AnswerSeconds: 600,
 	}
 	bundle := config.Bundle{Profiles: []carawaycart.Profile{profile}}
 	for _, z := range site.Zones {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -99,7 +99,7 @@
 	return ""
 }
 
-// AddInstance starts an instance, and lets the fabric and callers use it.
+// AddInstance starts an instance and lists it.
 func (f *Fleet) AddInstance(id carawaycart.InstanceID, zone carawaycart.ZoneID) error {
 	address := netip.MustParseAddrPort(loopback)
 	s := settings.Settings{
