Keep flows when all endpoints of a service leave at once

Cause: found by reading. Without an endpoint that accepts new flows every slot lost its current endpoint, and packets of such slots are dropped: operators who marked all old hosts as leaving before the new ones existed would have cut every flow. Ruled out: the fixture; with the change stashed the new test fails with packets dropped for noEndpoint one second after the change. Change: without candidates the slots retain the endpoints that may hold flows; new flows are refused, established ones go on. Conclusion: the order of marking and adding hosts no longer matters for flows.

--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -296,7 +296,7 @@
 }
 
 // reassign computes the slots of service id anew from its accepting endpoints.
-// When none accepts, the slots keep their endpoints.
+// When none accepts, the slots keep the endpoints that may still hold flows.
 func (c *Configuration) reassign(id carawaycart.ServiceID) {
 	members := c.members[id]
 	var candidates []slot.Candidate
@@ -306,6 +306,10 @@
 		}
 	}
 	t := slot.Grow(slot.Clone(c.Slots[id]), slot.Count(len(members)))
+	if len(candidates) == 0 {
+		c.Slots[id] = slot.Retain(t, c.Holding)
+		return
+	}
 	t = slot.Reassign(t, candidates)
 	c.Slots[id] = slot.Rebase(t, func(e carawaycart.EndpointID) bool { return !c.Holding(e) })
 }
--- a/core/flow/router_test.go
+++ b/core/flow/router_test.go
@@ -246,6 +246,28 @@
 	f.check(t, "after new flows", owners, now)
 }
 
+// All endpoints of a service may leave at once, before their successors exist.
+func TestLeavingOfAllEndpointsKeepsFlows(t *testing.T) {
+	f := newFixture(t, 4, 3)
+	owners := f.openFlows(t, 200, start)
+	for _, id := range []carawaycart.EndpointID{"e00", "e01", "e02"} {
+		f.leave(t, id)
+	}
+	for id := range f.boards {
+		f.arrive(id, start)
+	}
+	for at := time.Duration(0); at <= 4*time.Second; at += 500 * time.Millisecond {
+		for _, b := range f.boards {
+			b.Tick(start.Add(at))
+		}
+		f.check(t, "after "+at.String(), owners, start.Add(at))
+	}
+	d := f.send("i00", packet(999, carawaycart.PacketFirst), start.Add(5*time.Second))
+	if d.Verdict != carawaycart.VerdictDrop {
+		t.Errorf("a new flow went to %s, which is leaving", d.Endpoint)
+	}
+}
+
 func TestKeeperDeathKeepsRecordedFlows(t *testing.T) {
 	f := newFixture(t, 8, 14)
 	f.leave(t, "e03")
--- a/core/slot/table.go
+++ b/core/slot/table.go
@@ -67,15 +67,12 @@
 
 // Reassign returns a table whose current endpoints are the candidates, each
 // within one slot of its weighted share. Bases stay, except that a slot without
-// a base takes its current endpoint. The table t is not modified.
+// a base takes its current endpoint. There must be at least one candidate. The
+// table t is not modified.
 func Reassign(t carawaycart.SlotTable, candidates []Candidate) carawaycart.SlotTable {
 	r := newReassignment(t, candidates)
-	if len(candidates) > 0 {
-		r.keep()
-		r.place()
-	} else {
-		r.clear()
-	}
+	r.keep()
+	r.place()
 	for i, b := range r.table.Base {
 		if b == carawaycart.NoMember {
 			r.table.Base[i] = r.table.Current[i]
@@ -96,6 +93,26 @@
 	return compact(t)
 }
 
+// Retain returns a table in which every slot keeps those of its endpoints for
+// which holding is true; a slot that keeps one of the two has it as both, and one
+// that keeps none has no endpoint. The table t is not modified.
+func Retain(t carawaycart.SlotTable, holding func(carawaycart.EndpointID) bool) carawaycart.SlotTable {
+	t = Clone(t)
+	holds := func(m uint16) bool { return m != carawaycart.NoMember && holding(t.Members[m]) }
+	for i := range t.Base {
+		if !holds(t.Current[i]) {
+			t.Current[i] = t.Base[i]
+		}
+		if !holds(t.Current[i]) {
+			t.Current[i] = carawaycart.NoMember
+		}
+		if !holds(t.Base[i]) {
+			t.Base[i] = t.Current[i]
+		}
+	}
+	return compact(t)
+}
+
 // Settle returns a table in which the given slots take their current endpoint
 // as base, as far as their base and current endpoints are still the stated
 // ones. The table t is not modified; indices out of range are ignored.
@@ -258,12 +275,6 @@
 	return best
 }
 
-func (r *reassignment) clear() {
-	for s := range r.table.Current {
-		r.table.Current[s] = carawaycart.NoMember
-	}
-}
-
 // quotas divides n slots in proportion to the candidates' weights by the
 // largest remainder; they sum to n unless there is no candidate.
 func quotas(n int, candidates []Candidate) []int {
