Share the tests' builder of configurations

Cause: three tests and a benchmark built configurations by the same lines. Conclusion: logic that stood four times stands once.

--- a/core/board/bench_test.go
+++ b/core/board/bench_test.go
@@ -11,6 +11,7 @@
 	"carawaycart"
 	"carawaycart/core/board"
 	"carawaycart/core/config"
+	"carawaycart/internal/configtest"
 )
 
 var start = time.Unix(1000, 0)
@@ -42,15 +43,7 @@
 			FlowAddress: a, RequestAddress: a, Flows: 4200, Slots: 2,
 		})
 	}
-	after, err := json.Marshal(bundle)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	c, err := config.New().Apply(carawaycart.Change{Revision: 1, Kind: carawaycart.KindBundle, Name: "site", After: after})
-	if err != nil {
-		tb.Fatal(err)
-	}
-	return c
+	return configtest.Put(tb, config.New(), carawaycart.KindBundle, "site", bundle)
 }
 
 func eachSite(b *testing.B, f func(b *testing.B, c *config.Configuration)) {
--- a/core/board/board_test.go
+++ b/core/board/board_test.go
@@ -1,7 +1,6 @@
 package board_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -10,22 +9,9 @@
 	"carawaycart"
 	"carawaycart/core/board"
 	"carawaycart/core/config"
+	"carawaycart/internal/configtest"
 )
 
-// next returns the configuration that follows c by putting object.
-func next(t *testing.T, c *config.Configuration, kind carawaycart.ObjectKind, name string, object any) *config.Configuration {
-	t.Helper()
-	after, err := json.Marshal(object)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n, err := c.Apply(carawaycart.Change{Revision: c.Revision + 1, Kind: kind, Name: name, After: after})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
-
 func serviceAddress() netip.AddrPort { return netip.MustParseAddrPort("192.0.0.0:443") }
 
 // A revision's tables are followed after a second, and alone after two.
@@ -36,7 +22,7 @@
 	old := b.View().Service(serviceAddress()).Active
 	e := c.Endpoints["endpoint-0"]
 	e.Mark = carawaycart.MarkLeaving
-	b.SetConfig(next(t, c, carawaycart.KindEndpoint, "endpoint-0", e), start)
+	b.SetConfig(configtest.Put(t, c, carawaycart.KindEndpoint, "endpoint-0", e), start)
 	var moved carawaycart.Fingerprint
 	for old.Slot(old.Index(moved)).Current.ID != "endpoint-0" {
 		moved++
@@ -64,7 +50,7 @@
 func TestOlderConfigurationIsRefused(t *testing.T) {
 	b := board.New("i1")
 	c := build(t, site{1, 4})
-	n := next(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0", Out: true})
+	n := configtest.Put(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0", Out: true})
 	b.SetConfig(n, start)
 	for _, old := range []*config.Configuration{c, n} {
 		if b.SetConfig(old, start) {
@@ -97,10 +83,10 @@
 		}
 	}
 	check("in service", 8, 8)
-	c = next(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0", Out: true})
+	c = configtest.Put(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0", Out: true})
 	b.SetConfig(c, start)
 	check("out", 4, 4)
-	c = next(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0"})
+	c = configtest.Put(t, c, carawaycart.KindZone, "zone-0", carawaycart.Zone{ID: "zone-0"})
 	b.SetConfig(c, start)
 	check("back", 4, 8)
 	b.Tick(start.Add(time.Second))
--- a/core/flow/router_test.go
+++ b/core/flow/router_test.go
@@ -1,7 +1,6 @@
 package flow_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -12,6 +11,7 @@
 	"carawaycart/core/config"
 	"carawaycart/core/flow"
 	"carawaycart/core/limit"
+	"carawaycart/internal/configtest"
 )
 
 var (
@@ -69,14 +69,7 @@
 
 func (f *fixture) change(tb testing.TB, kind carawaycart.ObjectKind, name string, object any) {
 	tb.Helper()
-	after, err := json.Marshal(object)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	f.config, err = f.config.Apply(carawaycart.Change{Revision: f.config.Revision + 1, Kind: kind, Name: name, After: after})
-	if err != nil {
-		tb.Fatal(err)
-	}
+	f.config = configtest.Put(tb, f.config, kind, name, object)
 }
 
 // settle makes every slot clean.
--- /dev/null
+++ b/internal/configtest/doc.go
@@ -0,0 +1,2 @@
+// Package configtest helps tests to build configurations.
+package configtest
--- a/internal/control/keeping_test.go
+++ b/internal/control/keeping_test.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -12,6 +11,7 @@
 	"carawaycart/core/config"
 	"carawaycart/core/flow"
 	"carawaycart/core/limit"
+	"carawaycart/internal/configtest"
 )
 
 var start = time.Unix(1000, 0)
@@ -29,7 +29,7 @@
 			FlowAddress: netip.MustParseAddrPort("127.0.0.1:1"), Flows: 10,
 		})
 	}
-	c := change(t, config.New(), carawaycart.KindBundle, "site", bundle)
+	c := configtest.Put(t, config.New(), carawaycart.KindBundle, "site", bundle)
 	b := board.New("i1")
 	b.SetConfig(c, start)
 	b.SetMembers([]carawaycart.Member{{
@@ -38,19 +38,6 @@
 	return b, c
 }
 
-func change(t *testing.T, c *config.Configuration, kind carawaycart.ObjectKind, name string, object any) *config.Configuration {
-	t.Helper()
-	after, err := json.Marshal(object)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n, err := c.Apply(carawaycart.Change{Revision: c.Revision + 1, Kind: kind, Name: name, After: after})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return n
-}
-
 // Each case lost records in the demo before it was mended.
 func TestRetention(t *testing.T) {
 	record := &carawaycart.FlowRecord{Service: "desk", Fingerprint: 1, Endpoint: "e1"}
@@ -72,10 +59,10 @@
 			}
 			e := c.Endpoints["e0"]
 			e.Mark = carawaycart.MarkLeaving
-			b.SetConfig(change(t, c, carawaycart.KindEndpoint, "e0", e), start)
+			b.SetConfig(configtest.Put(t, c, carawaycart.KindEndpoint, "e0", e), start)
 		}, true, false},
 		{"zone of the owner taken out", func(b *board.Board, c *config.Configuration) {
-			b.SetConfig(change(t, c, carawaycart.KindZone, "b", carawaycart.Zone{ID: "b", Out: true}), start)
+			b.SetConfig(configtest.Put(t, c, carawaycart.KindZone, "b", carawaycart.Zone{ID: "b", Out: true}), start)
 		}, false, true},
 	} {
 		b, c := newKeeperBoard(t)
