Count requests that the balancer answered itself by cause

Cause: found on rereading. Dropped packets were counted by cause, refused requests only in four sums, though bad input is to be counted by cause. Whether an instance keeps an endpoint was written twice. Change: a counter for each cause of a refusal or unknown outcome; one Keeps on the blackboard. Conclusion: operators see why requests were refused.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -106,6 +106,9 @@
 	return e
 }
 
+// Keeps reports whether the instance is the keeper of endpoint e.
+func (b *Board) Keeps(e *Entry) bool { return e.Holders(b.Members()).Keeper == b.Self }
+
 // StatusDigest returns a hash of the statuses of all endpoints; boards with equal
 // statuses have equal digests.
 func (b *Board) StatusDigest() uint64 { return b.statusDigest.Load() }
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"carawaycart"
 	"carawaycart/internal/admin"
 	"carawaycart/internal/balancer"
@@ -278,6 +280,10 @@
 		if n := r.runs.Load() - before; n != 0 {
 			t.Errorf("got %d requests sent on, want none", n)
 		}
+		counter, ok := r.instance.Counters.Registry.Get("requestsByCause.bodyCutOff").(metrics.Counter)
+		if !ok || counter.Count() != 1 {
+			t.Errorf("the refusal was not counted by its cause")
+		}
 	})
 }
 
--- a/internal/control/dispatcher.go
+++ b/internal/control/dispatcher.go
@@ -83,11 +83,13 @@
 	default:
 		d.counters.RequestsNotRun.Inc(1)
 	}
+	d.counters.RequestCause(string(cause))
 	caller.WriteOutcome(w, carawaycart.OutcomeNotRun, cause, detail)
 }
 
 func (d *Dispatcher) unknown(w http.ResponseWriter, cause caller.Cause, detail string) {
 	d.counters.RequestsUnknown.Inc(1)
+	d.counters.RequestCause(string(cause))
 	caller.WriteOutcome(w, carawaycart.OutcomeUnknown, cause, detail)
 }
 
--- a/internal/control/keeping.go
+++ b/internal/control/keeping.go
@@ -68,7 +68,7 @@
 	tally := newTally()
 	for id := range view.Config.Endpoints {
 		e := ke.board.Entry(id)
-		if !ready || !ke.keeps(e) {
+		if !ready || !ke.board.Keeps(e) {
 			e.CloseGate()
 			continue
 		}
@@ -79,10 +79,6 @@
 	ke.publish(view)
 }
 
-func (ke *Keeping) keeps(e *board.Entry) bool {
-	return e.Holders(ke.board.Members()).Keeper == ke.board.Self
-}
-
 // judge opens the endpoint's gate if need be, polls it, and states its status.
 func (ke *Keeping) judge(ctx context.Context, view *board.View, e *board.Entry, exception bool, now time.Time) {
 	configured := *e.Endpoint()
--- a/internal/control/settler.go
+++ b/internal/control/settler.go
@@ -53,16 +53,12 @@
 		}
 	}
 	for id, e := range view.Config.Endpoints {
-		if next := s.nextMark(view, &e, now); next != e.Mark && s.keeps(s.board.Entry(id)) {
+		if next := s.nextMark(view, &e, now); next != e.Mark && s.board.Keeps(s.board.Entry(id)) {
 			s.append(ctx, view, carawaycart.KindEndpoint, string(id), replaceMark(e.Mark, next))
 		}
 	}
 }
 
-func (s *Settler) keeps(e *board.Entry) bool {
-	return e.Holders(s.board.Members()).Keeper == s.board.Self
-}
-
 // moves returns, for each pair of base and current endpoint that the instance
 // decides for, the dirty slots whose base got no packet for the idle limit.
 func (s *Settler) moves(r *board.ServiceRoute, now time.Time) []config.Move {
@@ -95,7 +91,7 @@
 // the idle limit without a packet to the slot's base.
 func (s *Settler) idle(r *board.ServiceRoute, n carawaycart.SlotIndex, current *board.Entry, now time.Time) bool {
 	limit := r.Profile.FlowIdleSeconds.Duration()
-	return s.keeps(current) && current.Gate() != nil &&
+	return s.board.Keeps(current) && current.Gate() != nil &&
 		now.Sub(r.BaseSeen(n)) >= limit && now.Sub(current.KeptSince()) >= limit
 }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -46,8 +46,9 @@
 	dropped [carawaycart.CauseCount]metrics.Counter
 	faults  [fabric.FaultCount]metrics.Counter
 
-	mu     sync.Mutex
-	byCall map[string]metrics.Counter
+	mu      sync.Mutex
+	byCall  map[string]metrics.Counter
+	byCause map[string]metrics.Counter
 }
 
 // New returns counters at zero in a registry of their own.
@@ -85,6 +86,7 @@
 		Claims:            gauge("claims"),
 		Revision:          gauge("revision"),
 		byCall:            make(map[string]metrics.Counter),
+		byCause:           make(map[string]metrics.Counter),
 	}
 	for i := range c.dropped {
 		c.dropped[i] = counter("packetsDropped." + carawaycart.Cause(i).String())
@@ -120,12 +122,23 @@
 }
 
 func (c *Counters) call(method string) metrics.Counter {
+	return c.named(c.byCall, "peerBytes.", method)
+}
+
+// RequestCause counts a request that the balancer answered itself for cause.
+func (c *Counters) RequestCause(cause string) {
+	c.named(c.byCause, "requestsByCause.", cause).Inc(1)
+}
+
+// named returns the counter of name in counters, registered at its first use
+// under prefix and name.
+func (c *Counters) named(counters map[string]metrics.Counter, prefix, name string) metrics.Counter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.byCall[method]
+	m := counters[name]
 	if m == nil {
-		m = metrics.NewRegisteredCounter("peerBytes."+method, c.Registry)
-		c.byCall[method] = m
+		m = metrics.NewRegisteredCounter(prefix+name, c.Registry)
+		counters[name] = m
 	}
 	return m
 }
