--- a/cmd/carawaycart/balancer.go
+++ b/cmd/carawaycart/balancer.go
@@ -13,12 +13,17 @@
 
 	"carawaycart"
 	"carawaycart/internal/balancer"
+	"carawaycart/internal/edge"
+	"carawaycart/internal/eventlog"
 	"carawaycart/internal/settings"
 )
 
+// settingsVariable names the settings file where the platform starts instances.
+const settingsVariable = "CARAWAYCART_SETTINGS"
+
 func newBalancerCommand(stderr io.Writer) *ffcli.Command {
 	flags := newFlags("balancer")
-	config := flags.String("config", "", "settings `file` of the instance")
+	config := flags.String("config", os.Getenv(settingsVariable), "settings `file` of the instance; without it, the one that "+settingsVariable+" names")
 	verbosity := flags.Int("v", 0, "verbosity of logs; 1 adds every applied change")
 	return newCommand(stderr, "balancer", "carawaycart balancer -config FILE.ini",
 		"Run one instance until SIGINT or SIGTERM, then stop it as planned.", flags,
@@ -36,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Format == settings.FormatToken {
+		return runEdge(ctx, s)
+	}
 	sockets, err := balancer.Open(s)
 	if err != nil {
 		return err
@@ -51,6 +59,23 @@
 	return b.Stop(stop)
 }
 
+// runEdge runs an instance for packets that carry tokens until ctx ends.
+func runEdge(ctx context.Context, s settings.Settings) error {
+	log := eventlog.New(s.ID, os.Stdout)
+	defer log.Close()
+	sockets, err := edge.Open(s)
+	if err != nil {
+		return err
+	}
+	e, err := edge.New(s, sockets, log)
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	e.Stop()
+	return nil
+}
+
 // setUpLogs makes klog write to standard error.
 func setUpLogs(verbosity int) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
--- /dev/null
+++ b/core/steer/cold.go
@@ -0,0 +1,57 @@
+package steer
+
+import "time"
+
+// coldWindow is the span over which the platform counts the flows that a cold
+// endpoint is given.
+const coldWindow = time.Second
+
+// coldMargin lengthens the window by what delays on the way may shorten it.
+const coldMargin = 150 * time.Millisecond
+
+// coldReserve divides what an endpoint bears, so that instances whose views of
+// the fleet differ stay within the bound together.
+const coldReserve = 2
+
+// ColdShare is how many new flows an instance may give a cold endpoint in any
+// second; the zero value allows none.
+type ColdShare struct {
+	Flows int
+}
+
+// NewColdShare returns the share of an instance that ranks at rank, from zero,
+// among the members of the fleet, for an endpoint that bears bound new flows a
+// second from all instances.
+func NewColdShare(bound float64, members, rank int) ColdShare {
+	total := int(bound / coldReserve)
+	if members <= 0 || total <= 0 || rank < 0 {
+		return ColdShare{}
+	}
+	share := total / members
+	if rank < total%members {
+		share++
+	}
+	return ColdShare{Flows: share}
+}
+
+// Allows reports whether another flow may be given at now, after those at taken.
+func (s ColdShare) Allows(taken []time.Time, now time.Time) bool {
+	recent := 0
+	for _, t := range taken {
+		if now.Sub(t) < coldWindow+coldMargin {
+			recent++
+		}
+	}
+	return recent < s.Flows
+}
+
+// Note returns taken with now added and what no longer counts removed.
+func (s ColdShare) Note(taken []time.Time, now time.Time) []time.Time {
+	kept := taken[:0]
+	for _, t := range taken {
+		if now.Sub(t) < coldWindow+coldMargin {
+			kept = append(kept, t)
+		}
+	}
+	return append(kept, now)
+}
--- /dev/null
+++ b/core/steer/endpoint.go
@@ -0,0 +1,121 @@
+package steer
+
+import (
+	"sync"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/directory"
+)
+
+// endpoint is one lifetime in a Table. It does not change; what is learnt about
+// the lifetime stands in record, which later tables share.
+type endpoint struct {
+	lifetime  carawaycart.Lifetime
+	token     carawaycart.Token
+	presence  directory.Presence
+	coldUntil time.Time
+	coldShare ColdShare
+	returning time.Time // its zone was taken back; entries from before this may be old
+	record    *record
+}
+
+// returnCold is how long the endpoints of a zone that comes back count as cold
+// at least: their entries may be a heartbeat and a read old.
+const returnCold = 3 * time.Second
+
+// newEndpoint returns the endpoint for s at now. Previous is the same lifetime
+// in the table before, or nil; returned tells that its zone was just taken back.
+func newEndpoint(s *directory.Seen, previous *endpoint, returned bool, now time.Time) *endpoint {
+	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, coldUntil: s.ColdUntil}
+	if previous != nil {
+		e.record, e.returning = previous.record, previous.returning
+	} else {
+		e.record = &record{}
+	}
+	if returned {
+		e.returning = now.Add(returnCold)
+	}
+	if e.returning.After(e.coldUntil) {
+		e.coldUntil = e.returning
+	}
+	return e
+}
+
+// candidate returns how the endpoint stands for a new flow at now.
+func (e *endpoint) candidate(zone carawaycart.ZoneID, now time.Time) Candidate {
+	r := e.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Candidate{
+		Outstanding: r.opening + r.waiting, Open: r.open, Slots: e.lifetime.Slots,
+		SameZone: e.lifetime.Zone == zone, Lapsed: e.presence == directory.Lapsed,
+		Avoided: r.misses > 0 && (now.Before(r.avoid) || r.opening > 0),
+	}
+	if now.Before(e.coldUntil) {
+		c.Cold = true
+		c.Full = !e.coldShare.Allows(r.taken, now)
+	}
+	return c
+}
+
+// take notes that a new flow was given to the endpoint at now.
+func (e *endpoint) take(now time.Time) {
+	r := e.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opening++
+	if now.Before(e.coldUntil) {
+		r.taken = e.coldShare.Note(r.taken, now)
+	}
+}
+
+const (
+	firstAvoidance = 500 * time.Millisecond
+	maxDoublings   = 3
+)
+
+// record is what an instance has learnt of one lifetime.
+type record struct {
+	mu       sync.Mutex
+	opening  int // first packets that may still be answered
+	waiting  int // requests that were not answered yet
+	open     int // flows known here
+	misses   int // first packets or requests in a row that went unanswered
+	avoid    time.Time
+	answered time.Time
+	taken    []time.Time // when it was given flows while cold, lately
+}
+
+// answer notes that the endpoint has answered at now, and reports whether it
+// was in doubt.
+func (r *record) answer(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	doubt := r.misses > 0
+	r.misses, r.avoid, r.answered = 0, time.Time{}, now
+	return doubt
+}
+
+// miss notes that something sent at sent was unanswered at now, and returns how
+// long the endpoint is avoided, zero if an answer came since.
+func (r *record) miss(sent, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answered.After(sent) {
+		return 0
+	}
+	span := firstAvoidance << r.misses
+	r.misses = min(r.misses+1, maxDoublings)
+	r.avoid = now.Add(span)
+	return span
+}
+
+// adjust changes the counts of what is outstanding.
+func (r *record) adjust(opening, waiting, open int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opening += opening
+	r.waiting += waiting
+	r.open += open
+}
--- /dev/null
+++ b/core/steer/table.go
@@ -0,0 +1,145 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/directory"
+	"carawaycart/internal/rendezvous"
+)
+
+// Table is an immutable snapshot of what packets are decided by.
+type Table struct {
+	Version  uint64 // of the routing configuration
+	Revision carawaycart.StoreRevision
+
+	routes map[netip.AddrPort]*route
+	owners map[carawaycart.Token]*endpoint
+	byKey  map[carawaycart.LifetimeKey]*endpoint
+	zones  map[carawaycart.ZoneID]bool // out
+}
+
+// route is where the new flows of an address go.
+type route struct {
+	name    string
+	targets []target
+	weight  int // sum over targets
+}
+
+type target struct {
+	endpoints []*endpoint
+	weight    int
+}
+
+// Limits bound what cold endpoints are given.
+type Limits struct {
+	ColdOverrun float64 // multiple of what a cold endpoint says it bears
+	ColdSlack   float64 // requests a second on top
+}
+
+// Input is what a Table is built from.
+type Input struct {
+	Contents directory.Contents
+	Revision carawaycart.StoreRevision
+	Roster   *directory.Roster
+	Self     carawaycart.InstanceID
+	Limits   Limits
+}
+
+// NewTable returns the table for in at now. Endpoints that were in previous,
+// which may be nil, keep what was learnt about them.
+func NewTable(in *Input, previous *Table, now time.Time) *Table {
+	t := &Table{
+		Revision: in.Revision,
+		routes:   make(map[netip.AddrPort]*route),
+		owners:   make(map[carawaycart.Token]*endpoint),
+		byKey:    make(map[carawaycart.LifetimeKey]*endpoint),
+		zones:    make(map[carawaycart.ZoneID]bool),
+	}
+	for _, z := range in.Contents.ZonesOut {
+		t.zones[z] = true
+	}
+	t.addEndpoints(in, previous, now)
+	if in.Contents.Config != nil {
+		t.Version = in.Contents.Config.Version
+		t.addRoutes(in.Contents.Config)
+	}
+	return t
+}
+
+func (t *Table) addEndpoints(in *Input, previous *Table, now time.Time) {
+	policies := make(map[carawaycart.ServiceID]carawaycart.ServicePolicy)
+	if in.Contents.Config != nil {
+		for _, s := range in.Contents.Config.Services {
+			policies[s.ID] = s
+		}
+	}
+	var keys []carawaycart.LifetimeKey
+	in.Roster.All(func(s *directory.Seen) {
+		key := s.Lifetime.Key()
+		var old *endpoint
+		if previous != nil {
+			old = previous.byKey[key]
+		}
+		e := newEndpoint(s, old, t.returned(previous, s.Lifetime.Zone), now)
+		e.coldShare = coldShare(in, policies[s.Lifetime.Service], key)
+		t.byKey[key] = e
+		keys = append(keys, key)
+	})
+	tokens, owners := assignTokens(keys, derive)
+	for token, key := range owners {
+		t.owners[token] = t.byKey[key]
+	}
+	for key, token := range tokens {
+		t.byKey[key].token = token
+	}
+}
+
+// returned reports whether zone was out in previous and is not now.
+func (t *Table) returned(previous *Table, zone carawaycart.ZoneID) bool {
+	return previous != nil && previous.zones[zone] && !t.zones[zone]
+}
+
+// coldShare returns the share that the instance has of a cold endpoint.
+func coldShare(in *Input, policy carawaycart.ServicePolicy, key carawaycart.LifetimeKey) ColdShare {
+	bound := policy.ColdPerSecond*in.Limits.ColdOverrun + in.Limits.ColdSlack
+	place := rendezvous.NewKey(string(key.ID))
+	own := rendezvous.Score(rendezvous.NewName(string(in.Self)), place)
+	rank, members := 0, 1
+	for _, i := range in.Contents.Instances {
+		if i.ID == in.Self {
+			continue
+		}
+		members++
+		if rendezvous.Score(rendezvous.NewName(string(i.ID)), place) > own {
+			rank++
+		}
+	}
+	return NewColdShare(bound, members, rank)
+}
+
+func (t *Table) addRoutes(c *carawaycart.RouteConfig) {
+	services := make(map[carawaycart.ServiceID][]*endpoint)
+	for _, e := range t.byKey {
+		l := &e.lifetime
+		if e.presence != directory.Ended && !l.Draining && !t.zones[l.Zone] {
+			services[l.Service] = append(services[l.Service], e)
+		}
+	}
+	for i := range c.Routes {
+		r := &route{name: c.Routes[i].Name}
+		for _, target := range c.Routes[i].Targets {
+			r.add(services[target.Service], target.Weight)
+		}
+		t.routes[c.Routes[i].Address] = r
+	}
+}
+
+func (r *route) add(endpoints []*endpoint, weight int) {
+	r.targets = append(r.targets, target{endpoints: endpoints, weight: weight})
+	r.weight += weight
+}
+
+// Complete reports whether packets can be decided by t.
+func (t *Table) Complete() bool { return t != nil && t.Version != 0 }
--- /dev/null
+++ b/core/steer/token.go
@@ -0,0 +1,58 @@
+package steer
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"carawaycart"
+)
+
+// maxDerivations bounds the tokens that one lifetime can have; at 21,000
+// lifetimes a third one is needed once in about 10^10 days.
+const maxDerivations = 4
+
+// derive returns the n-th token of a lifetime, which is never zero.
+func derive(key carawaycart.LifetimeKey, n int) carawaycart.Token {
+	var b [9]byte
+	binary.BigEndian.PutUint64(b[:8], uint64(key.Born))
+	b[8] = byte(n)
+	h := xxhash.New()
+	_, _ = h.WriteString(string(key.ID))
+	_, _ = h.Write(b[:])
+	sum := h.Sum64()
+	t := carawaycart.Token(sum ^ sum>>32)
+	if t == 0 {
+		t = 1
+	}
+	return t
+}
+
+// assignTokens returns the token of each lifetime and the owner of each token.
+//
+// Where two lifetimes derive the same token, it belongs to the older one, and
+// the younger one uses its next. A younger lifetime also owns the tokens before
+// that one which nobody older has, since an instance that did not know the
+// older one may have given them out.
+func assignTokens(keys []carawaycart.LifetimeKey, deriveToken func(carawaycart.LifetimeKey, int) carawaycart.Token,
+) (tokens map[carawaycart.LifetimeKey]carawaycart.Token, owners map[carawaycart.Token]carawaycart.LifetimeKey) {
+	sorted := slices.Clone(keys)
+	slices.SortFunc(sorted, func(a, b carawaycart.LifetimeKey) int {
+		return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.ID, b.ID))
+	})
+	tokens = make(map[carawaycart.LifetimeKey]carawaycart.Token, len(sorted))
+	owners = make(map[carawaycart.Token]carawaycart.LifetimeKey, len(sorted))
+	for _, key := range sorted {
+		for n := range maxDerivations {
+			t := deriveToken(key, n)
+			if _, taken := owners[t]; taken {
+				continue
+			}
+			owners[t], tokens[key] = key, t
+			break
+		}
+	}
+	return tokens, owners
+}
--- a/flow.go
+++ b/flow.go
@@ -54,6 +54,40 @@
 	Key     FlowKey
 	Kind    PacketKind
 	Relayed bool // received from another instance
+
+	// The fields below are set only by formats whose packets carry a Token.
+
+	Token        Token
+	Sequence     uint32
+	Acknowledged uint32
+	DataBytes    int
+	Copy         int  // how often a first packet was sent before
+	Reset        bool // ends the flow at once
+}
+
+// Fault tells what is wrong with a datagram that cannot be decoded.
+type Fault uint8
+
+// The faults of a datagram that should hold a packet with a Token.
+const (
+	FaultNone   Fault = iota
+	FaultShort        // shorter than a head
+	FaultLength       // another length than the head states
+	FaultFlags        // flags that no caller sends
+	faultCount
+)
+
+// FaultCount is the number of faults.
+const FaultCount = int(faultCount)
+
+var faultNames = [FaultCount]string{"none", "short", "length", "flags"}
+
+// String returns the name of f as used in metrics.
+func (f Fault) String() string {
+	if int(f) >= FaultCount {
+		return "invalid"
+	}
+	return faultNames[f]
 }
 
 // Verdict is what is to be done with a packet.
@@ -64,6 +98,7 @@
 	VerdictDrop    Verdict = iota // discard and count the Cause
 	VerdictForward                // send to Endpoint
 	VerdictRelay                  // send once to Instance
+	VerdictReset                  // tell the caller that the flow does not exist; count the Cause
 )
 
 // Cause tells why a packet was dropped.
@@ -79,6 +114,10 @@
 	CauseNoCapacity           // every endpoint of the service is at its limit
 	CauseSpreading            // other instances may not know yet that the slot needs its keeper
 	CauseNotReady             // this instance has no configuration yet
+	CauseNoRoute              // the configuration has no route for the address
+	CauseEnded                // the endpoint that owned the flow has ended
+	CauseUnknownToken         // no known endpoint has the packet's token
+	CauseCold                 // every endpoint that may take the flow is cold and at its limit
 	causeCount
 )
 
@@ -87,6 +126,7 @@
 
 var causeNames = [CauseCount]string{
 	"none", "unknownService", "noEndpoint", "noKeeper", "notKeeper", "noCapacity", "spreading", "notReady",
+	"noRoute", "ended", "unknownToken", "cold",
 }
 
 // String returns the name of c as used in metrics.
@@ -104,6 +144,12 @@
 	Endpoint EndpointID
 	Instance InstanceID
 	Record   bool // the keeper recorded a new flow, which must be replicated
+
+	// The fields below are set only by formats whose packets carry a Token.
+
+	Token   Token      // to be written into a first packet
+	Number  HostNumber // of the endpoint at Address
+	Address netip.AddrPort
 }
 
 // FlowRecord states which endpoint owns a flow that its slot's base does not.
--- a/interfaces.go
+++ b/interfaces.go
@@ -54,3 +54,10 @@
 	// Report returns the endpoint's current report.
 	Report(ctx context.Context, address netip.AddrPort) (Report, error)
 }
+
+// Router decides packets. It is implemented for formats that carry a Token, and
+// for those that do not.
+type Router interface {
+	// Decide returns what is to be done at now with packet p.
+	Decide(p *Packet, now time.Time) Decision
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,168 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"carawaycart"
+	"carawaycart/core/steer"
+	"carawaycart/internal/eventlog"
+	"carawaycart/internal/settings"
+	"carawaycart/io/fabric"
+	"carawaycart/io/peer"
+	"carawaycart/platform"
+)
+
+const (
+	quietPeriod  = 600 * time.Millisecond  // without packets, after which a stopping instance is not needed
+	noticePeriod = 1200 * time.Millisecond // for the fabric to notice that the instance is not ready: two misses, half a second apart
+	stopReserve  = 700 * time.Millisecond  // of the grace time, for the end itself
+	stopStep     = 50 * time.Millisecond
+)
+
+// Edge is one running instance.
+type Edge struct {
+	settings settings.Settings
+	clock    carawaycart.Clock
+	log      *eventlog.Log
+	counters *Counters
+
+	router    *steer.Router
+	view      *View
+	store     *platform.Store
+	client    *peer.Client
+	courier   *Courier
+	registrar *Registrar
+	reader    *Reader
+	peers     *peer.Server
+	port      *fabric.Port
+	servers   []*http.Server
+
+	stopping atomic.Bool
+	last     atomic.Int64
+}
+
+// New returns a running instance with the given settings and open sockets.
+func New(s settings.Settings, o *Sockets, log *eventlog.Log) (*Edge, error) {
+	clock := carawaycart.NewSteadyClock()
+	e := &Edge{settings: s, clock: clock, log: log, counters: NewCounters()}
+	e.router = steer.NewRouter(s.Zone, rand.NewPCG(rand.Uint64(), rand.Uint64()), &observer{e.counters, log})
+	e.view = NewView(s.ID, steer.Limits{ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack}, e.router, clock, log)
+	e.store = platform.NewStore(s.Store, e.counters.StoreCall)
+	e.client = peer.NewClient(e.counters)
+	e.courier = NewCourier(s.ID, s.Zone, e.view, o.News, e.client, clock, log)
+	own := carawaycart.Registration{ID: s.ID, Zone: s.Zone, PeerAddress: o.News.LocalAddr().(*net.UDPAddr).AddrPort()}
+	e.registrar = NewRegistrar(own, e.store, e.view, clock, log)
+	var err error
+	if e.peers, err = peer.NewDirectoryServer(o.Peer, e.courier, e.counters); err != nil {
+		return nil, err
+	}
+	e.port = fabric.NewTranslatorPort(o.Fabric, s.FabricThreads, func() fabric.Translator {
+		return &packets{router: e.router, clock: clock, counters: e.counters, resetPort: s.Fabric.Port(), last: &e.last}
+	})
+	e.servers = append(e.servers, newReadyServer(o.Ready, platform.ReadyPath, e.Ready))
+	e.servers = append(e.servers, newMetricsServer(o.Operator, e))
+	e.reader = NewReader(s.ID, s.Zone, e.store, e.view, e.courier, e.registrar, clock, log)
+	go e.join()
+	log.Event("started").Text("zone", string(s.Zone)).Text("store", s.Store).End()
+	return e, nil
+}
+
+// join asks the seeds for what they know, while the reader asks the store.
+func (e *Edge) join() {
+	for _, a := range e.settings.Seeds {
+		address := netip.AddrPortFrom(a.Addr(), e.settings.Peer.Port())
+		if address == e.settings.Peer {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+			defer cancel()
+			e.courier.Fetch(ctx, address, address.String())
+		}()
+	}
+}
+
+// Ready reports whether the fabric may send packets.
+func (e *Edge) Ready() bool { return !e.stopping.Load() && e.router.Table().Complete() }
+
+// Stop ends the instance as planned: it goes on forwarding until the fabric has
+// turned to others or the grace time is nearly over.
+func (e *Edge) Stop() {
+	began := e.clock.Now()
+	e.stopping.Store(true)
+	e.log.Event("stopping").End()
+	deadline := began.Add(e.settings.GraceSeconds.Duration() - stopReserve)
+	for now := began; now.Before(deadline); now = e.clock.Now() {
+		quiet := now.Sub(time.Unix(0, e.last.Load())) > quietPeriod
+		if quiet && now.Sub(began) > noticePeriod {
+			break
+		}
+		time.Sleep(stopStep)
+	}
+	e.Close()
+	e.log.Event("stopped").Millis("tookMs", e.clock.Now().Sub(began)).End()
+}
+
+// Close ends the instance at once.
+func (e *Edge) Close() {
+	e.reader.Close()
+	e.courier.Close()
+	e.peers.Close()
+	if err := e.port.Close(); err != nil {
+		e.log.Event("closeFailed").Err(err).End()
+	}
+	for _, s := range e.servers {
+		if err := s.Close(); err != nil {
+			e.log.Event("closeFailed").Err(err).End()
+		}
+	}
+	e.client.Close()
+	e.store.Close()
+}
+
+// Sockets are the open sockets of an instance.
+type Sockets struct {
+	Fabric   *net.UDPConn
+	News     *net.UDPConn
+	Peer     net.Listener
+	Ready    net.Listener
+	Operator net.Listener
+}
+
+// Open opens the sockets that s names.
+func Open(s settings.Settings) (*Sockets, error) {
+	o := &Sockets{}
+	var err error
+	if o.Fabric, err = listenUDP(s.Fabric, "fabric"); err != nil {
+		return nil, err
+	}
+	if o.News, err = listenUDP(s.Peer, "peer"); err != nil {
+		return nil, err
+	}
+	if o.Peer, err = listen(s.Peer, "peer"); err != nil {
+		return nil, err
+	}
+	if o.Ready, err = listen(s.Ready, "ready"); err != nil {
+		return nil, err
+	}
+	o.Operator, err = listen(s.Operator, "operator")
+	return o, err
+}
+
+func listen(a netip.AddrPort, name string) (net.Listener, error) {
+	l, err := net.Listen("tcp", a.String())
+	return l, errors.Annotatef(err, "listen for %s", name)
+}
+
+func listenUDP(a netip.AddrPort, name string) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	return c, errors.Annotatef(err, "listen for %s", name)
+}
--- /dev/null
+++ b/internal/edge/reader.go
@@ -0,0 +1,150 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"carawaycart"
+	"carawaycart/internal/eventlog"
+	"carawaycart/internal/rendezvous"
+	"carawaycart/platform"
+)
+
+const (
+	readPeriod  = 700 * time.Millisecond // between reads of the fleet; changes must be in force within 3 s
+	zoneStep    = 40 * time.Millisecond  // an instance of the next zone waits longer by this
+	rankStep    = 150 * time.Millisecond // the next instance of a zone waits longer by this
+	maxRank     = 6                      // ranks wait no longer than this one
+	readLimit   = time.Second            // for the store's answer, which takes 4 ms and up to 60 times that when slow
+	firstRetry  = 100 * time.Millisecond
+	retryPeriod = 400 * time.Millisecond
+	maxRetry    = 2 * time.Second
+)
+
+// Reader reads the store when the fleet's last read is too old.
+type Reader struct {
+	self      carawaycart.InstanceID
+	zone      carawaycart.ZoneID
+	store     *platform.Store
+	view      *View
+	courier   *Courier
+	registrar *Registrar
+	clock     carawaycart.Clock
+	log       *eventlog.Log
+
+	failures int
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// NewReader returns a reader that reads s into v until Close.
+func NewReader(self carawaycart.InstanceID, zone carawaycart.ZoneID, s *platform.Store, v *View, c *Courier, g *Registrar,
+	k carawaycart.Clock, log *eventlog.Log,
+) *Reader {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Reader{self: self, zone: zone, store: s, view: v, courier: c, registrar: g, clock: k, log: log, cancel: cancel}
+	r.done.Go(func() {
+		for ctx.Err() == nil {
+			r.step(ctx)
+		}
+	})
+	return r
+}
+
+// Close stops reading.
+func (r *Reader) Close() {
+	r.cancel()
+	r.done.Wait()
+}
+
+// step waits until a read is due, unless a peer reads first.
+func (r *Reader) step(ctx context.Context) {
+	s := r.view.State()
+	wait := r.due(&s).Sub(r.clock.Now())
+	if wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if !r.view.State().Confirmed.Equal(s.Confirmed) {
+			r.registrar.Tend(ctx)
+			return
+		}
+	}
+	r.read(ctx)
+	r.registrar.Tend(ctx)
+}
+
+// due returns when the instance has to read the store if nobody has before.
+func (r *Reader) due(s *State) time.Time {
+	if s.Confirmed.IsZero() {
+		return r.clock.Now().Add(r.backoff(firstRetry))
+	}
+	due := s.Confirmed.Add(readPeriod + delay(r.self, r.zone, s.Instances))
+	if r.failures > 0 {
+		if retry := r.clock.Now().Add(r.backoff(retryPeriod)); retry.After(due) {
+			return retry
+		}
+	}
+	return due
+}
+
+// backoff returns how long to wait after failures in a row.
+func (r *Reader) backoff(first time.Duration) time.Duration {
+	if r.failures == 0 {
+		return 0
+	}
+	return min(first<<min(r.failures-1, maxRank), maxRetry)
+}
+
+// delay returns how much longer than readPeriod the instance waits for others to
+// read: zones take turns in their order, and so do the instances of a zone.
+func delay(self carawaycart.InstanceID, zone carawaycart.ZoneID, instances []carawaycart.Registration) time.Duration {
+	key := rendezvous.NewKey("reader")
+	own := rendezvous.Score(rendezvous.NewName(string(self)), key)
+	rank := 0
+	zones := []carawaycart.ZoneID{zone}
+	for _, i := range instances {
+		if !slices.Contains(zones, i.Zone) {
+			zones = append(zones, i.Zone)
+		}
+		if i.Zone == zone && i.ID != self && rendezvous.Score(rendezvous.NewName(string(i.ID)), key) > own {
+			rank++
+		}
+	}
+	slices.SortFunc(zones, func(a, b carawaycart.ZoneID) int { return cmp.Compare(a, b) })
+	return time.Duration(slices.Index(zones, zone))*zoneStep + time.Duration(min(rank, maxRank))*rankStep
+}
+
+// read reads the store and tells the peers.
+func (r *Reader) read(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	began := r.clock.Now()
+	read, err := r.store.ReadAll(call, "")
+	now := r.clock.Now()
+	if err != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		r.view.Trouble(now)
+		r.failures++
+		r.log.Event("storeFailed").Int("failures", int64(r.failures)).Millis("tookMs", now.Sub(began)).Err(err).End()
+		return
+	}
+	if r.failures > 0 {
+		r.log.Event("storeRegained").Int("failures", int64(r.failures)).Int("revision", int64(read.At)).End()
+	}
+	r.failures = 0
+	r.courier.Tell(r.view.TakeRead(read, began), began)
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -17,6 +17,9 @@
 		if f.Required {
 			required = "yes"
 		}
+		if f.Only != "" {
+			required += ", only `" + string(f.Only) + "`"
+		}
 		_, _ = fmt.Fprintf(&b, "| `%s` | `%s` | %s | %s | %s |\n", f.Section, f.Key, required, f.Default, f.Meaning)
 	}
 	return b.String()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,9 @@
 const (
 	minThreads = 1
 	maxThreads = 64
+
+	maxGraceSeconds = 600
+	maxFraction     = 1000
 )
 
 // Settings are the settings of one instance.
@@ -33,8 +36,25 @@
 	List          string         // URL of the platform's instance list
 	Seeds         []netip.AddrPort
 	FabricThreads int
+
+	// The fields below serve FormatToken only.
+
+	Format       Format
+	Ready        netip.AddrPort // TCP, HTTP for the fabric's question whether to send packets
+	GraceSeconds carawaycart.Seconds
+	ColdOverrun  float64 // multiple of what cold endpoints say they bear
+	ColdSlack    float64 // requests a second on top
 }
 
+// Format names how the fabric wraps packets.
+type Format string
+
+// The formats.
+const (
+	FormatGeneve Format = "geneve" // Geneve; flows are known by records
+	FormatToken  Format = "token"  // the platform's own; flows are known by tokens
+)
+
 // Fault is one thing wrong with a settings file.
 type Fault struct {
 	File    string
@@ -73,6 +93,7 @@
 	Meaning  string
 	Default  string
 	Required bool
+	Only     Format // the format whose files need and may have the setting; empty means all
 	set      func(*Settings, string) error
 }
 
@@ -95,11 +116,15 @@
 		},
 	},
 	{
-		Section: "listen", Key: "fabric", Meaning: "UDP address for Geneve packets from the fabric.", Required: true,
+		Section: "fabric", Key: "format", Meaning: "How the fabric wraps packets: `geneve`, or `token` for packets that carry a token.", Default: "geneve",
+		set: setFormat,
+	},
+	{
+		Section: "listen", Key: "fabric", Meaning: "UDP address for packets from the fabric.", Required: true,
 		set: address(func(s *Settings) *netip.AddrPort { return &s.Fabric }),
 	},
 	{
-		Section: "listen", Key: "request", Meaning: "TCP address for HTTP requests of callers.", Required: true,
+		Section: "listen", Key: "request", Meaning: "TCP address for HTTP requests of callers.", Required: true, Only: FormatGeneve,
 		set: address(func(s *Settings) *netip.AddrPort { return &s.Request }),
 	},
 	{
@@ -110,6 +135,10 @@
 		Section: "listen", Key: "operator", Meaning: "TCP address for operators and metrics over HTTP.", Required: true,
 		set: address(func(s *Settings) *netip.AddrPort { return &s.Operator }),
 	},
+	{
+		Section: "listen", Key: "ready", Meaning: "TCP address at which the fabric asks over HTTP whether to send packets.", Required: true, Only: FormatToken,
+		set: address(func(s *Settings) *netip.AddrPort { return &s.Ready }),
+	},
 	{
 		Section: "platform", Key: "store", Meaning: "URL of the platform's key-value service.", Required: true,
 		set: func(s *Settings, v string) error {
@@ -118,20 +147,39 @@
 		},
 	},
 	{
-		Section: "platform", Key: "list", Meaning: "URL of the platform's instance list.", Required: true,
+		Section: "platform", Key: "list", Meaning: "URL of the platform's instance list.", Required: true, Only: FormatGeneve,
 		set: func(s *Settings, v string) error {
 			s.List = v
 			return checkURL(v)
 		},
 	},
 	{
-		Section: "peers", Key: "seeds", Meaning: "Peer addresses to join by besides those of the list, separated by commas.",
+		Section: "peers", Key: "seeds", Meaning: "Peer addresses to join by, separated by commas; with format `token` their ports are replaced by the instance's own.",
 		set: setSeeds,
 	},
 	{
 		Section: "threads", Key: "fabric", Meaning: "Threads that forward packets, 1 to 64.", Default: "2",
 		set: setThreads,
 	},
+	{
+		Section: "limits", Key: "graceSeconds", Meaning: "Seconds from SIGTERM until the instance is killed.", Default: "6", Only: FormatToken,
+		set: func(s *Settings, v string) error {
+			n, err := strconv.Atoi(v)
+			if err != nil || n < 1 || n > maxGraceSeconds {
+				return errors.NotValidf("%q (want 1 to %d)", v, maxGraceSeconds)
+			}
+			s.GraceSeconds = carawaycart.Seconds(n)
+			return nil
+		},
+	},
+	{
+		Section: "limits", Key: "coldOverrun", Meaning: "How many times what a cold endpoint says it bears it may be given.", Default: "1.5", Only: FormatToken,
+		set: fraction(func(s *Settings) *float64 { return &s.ColdOverrun }),
+	},
+	{
+		Section: "limits", Key: "coldSlack", Meaning: "Requests a second that a cold endpoint may be given on top.", Default: "5", Only: FormatToken,
+		set: fraction(func(s *Settings) *float64 { return &s.ColdSlack }),
+	},
 }
 
 func address(field func(*Settings) *netip.AddrPort) func(*Settings, string) error {
@@ -145,6 +193,25 @@
 	}
 }
 
+func fraction(field func(*Settings) *float64) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || n < 0 || n > maxFraction {
+			return errors.NotValidf("%q (want 0 to %d)", v, maxFraction)
+		}
+		*field(s) = n
+		return nil
+	}
+}
+
+func setFormat(s *Settings, v string) error {
+	s.Format = Format(v)
+	if s.Format != FormatGeneve && s.Format != FormatToken {
+		return errors.NotValidf("%q (want %s or %s)", v, FormatGeneve, FormatToken)
+	}
+	return nil
+}
+
 func checkURL(v string) error {
 	u, err := url.Parse(v)
 	if err != nil || u.Scheme != "http" || u.Host == "" || u.Path != "" || u.RawQuery != "" {
@@ -157,6 +224,9 @@
 }
 
 func setSeeds(s *Settings, v string) error {
+	if v == "" {
+		return nil
+	}
 	for _, part := range strings.Split(v, ",") {
 		a, err := netip.ParseAddrPort(strings.TrimSpace(part))
 		if err != nil {
@@ -209,7 +279,11 @@
 
 func readField(s *Settings, file *ini.File, f Field) string {
 	section := file.Section(f.Section)
+	foreign := f.Only != "" && s.Format != "" && f.Only != s.Format
 	if !section.HasKey(f.Key) {
+		if foreign {
+			return ""
+		}
 		if f.Required {
 			return "missing"
 		}
@@ -218,6 +292,9 @@
 		}
 		return problem(f.set(s, f.Default))
 	}
+	if foreign {
+		return fmt.Sprintf("serves format %s only", f.Only)
+	}
 	values := section.Key(f.Key).ValueWithShadows()
 	if len(values) > 1 {
 		return fmt.Sprintf("given %d times", len(values))
--- a/io/fabric/port.go
+++ b/io/fabric/port.go
@@ -26,6 +26,19 @@
 	Fault(f Fault)
 }
 
+// Translator turns datagrams that arrive into datagrams to send; it serves one
+// thread.
+type Translator interface {
+	// Headroom returns how many bytes Translate may write before a datagram.
+	Headroom() int
+	// MaxDatagram returns the longest datagram that can arrive, in bytes.
+	MaxDatagram() int
+	// Translate returns what to send, and where, for the datagram that begins in
+	// b after the headroom; it returns false to send nothing. The result may lie
+	// in b.
+	Translate(b []byte) ([]byte, netip.AddrPort, bool)
+}
+
 // Port forwards the datagrams that arrive on one UDP socket.
 type Port struct {
 	conn *net.UDPConn
@@ -35,10 +48,18 @@
 // NewPort forwards datagrams that arrive on conn with the given number of
 // threads until Close; relayed marks what arrives as sent on by a peer.
 func NewPort(conn *net.UDPConn, relayed bool, handler Handler, threads int) *Port {
+	return NewTranslatorPort(conn, threads, func() Translator {
+		return &unwrapper{relayed: relayed, handler: handler, decoder: NewDecoder()}
+	})
+}
+
+// NewTranslatorPort translates datagrams that arrive on conn with the given
+// number of threads until Close.
+func NewTranslatorPort(conn *net.UDPConn, threads int, newTranslator func() Translator) *Port {
 	p := &Port{conn: conn}
 	for range threads {
 		p.done.Go(func() {
-			newForwarder(conn, relayed, handler).run()
+			newForwarder(conn, newTranslator()).run()
 		})
 	}
 	return p
@@ -51,30 +72,60 @@
 	return errors.Annotatef(err, "close port %s", p.conn.LocalAddr())
 }
 
+// unwrapper is the Translator of Geneve datagrams, which it sends on unchanged.
+type unwrapper struct {
+	relayed bool
+	handler Handler
+	decoder *Decoder
+}
+
+// Headroom returns zero.
+func (*unwrapper) Headroom() int { return 0 }
+
+// MaxDatagram returns the size of a jumbo frame.
+func (*unwrapper) MaxDatagram() int { return datagramBytes }
+
+// Translate returns b if the handler knows where to send it.
+func (u *unwrapper) Translate(b []byte) ([]byte, netip.AddrPort, bool) {
+	if len(b) >= datagramBytes {
+		u.handler.Fault(FaultIP)
+		return nil, netip.AddrPort{}, false
+	}
+	var p carawaycart.Packet
+	if fault := u.decoder.Decode(b, &p); fault != FaultNone {
+		u.handler.Fault(fault)
+		return nil, netip.AddrPort{}, false
+	}
+	p.Relayed = u.relayed
+	address, ok := u.handler.Handle(&p)
+	return b, address, ok
+}
+
 // forwarder is the state of one thread; its buffers are used again for every
 // batch.
 type forwarder struct {
-	conn      *ipv4.PacketConn
-	relayed   bool
-	handler   Handler
-	decoder   *Decoder
-	in        []ipv4.Message
-	out       []ipv4.Message
-	addresses map[netip.AddrPort]*net.UDPAddr
+	conn       *ipv4.PacketConn
+	translator Translator
+	headroom   int
+	buffers    [][]byte
+	in         []ipv4.Message
+	out        []ipv4.Message
+	addresses  map[netip.AddrPort]*net.UDPAddr
 }
 
-func newForwarder(conn *net.UDPConn, relayed bool, handler Handler) *forwarder {
+func newForwarder(conn *net.UDPConn, t Translator) *forwarder {
 	f := &forwarder{
-		conn:      ipv4.NewPacketConn(conn),
-		relayed:   relayed,
-		handler:   handler,
-		decoder:   NewDecoder(),
-		in:        make([]ipv4.Message, batchSize),
-		out:       make([]ipv4.Message, 0, batchSize),
-		addresses: make(map[netip.AddrPort]*net.UDPAddr),
+		conn:       ipv4.NewPacketConn(conn),
+		translator: t,
+		headroom:   t.Headroom(),
+		buffers:    make([][]byte, batchSize),
+		in:         make([]ipv4.Message, batchSize),
+		out:        make([]ipv4.Message, 0, batchSize),
+		addresses:  make(map[netip.AddrPort]*net.UDPAddr),
 	}
 	for i := range f.in {
-		f.in[i].Buffers = [][]byte{make([]byte, datagramBytes)}
+		f.buffers[i] = make([]byte, f.headroom+t.MaxDatagram())
+		f.in[i].Buffers = [][]byte{f.buffers[i][f.headroom:]}
 	}
 	return f
 }
@@ -90,25 +141,14 @@
 		}
 		f.out = f.out[:0]
 		for i := range f.in[:n] {
-			f.handle(&f.in[i])
+			f.handle(f.buffers[i][:f.headroom+f.in[i].N])
 		}
 		f.flush()
 	}
 }
 
-func (f *forwarder) handle(m *ipv4.Message) {
-	if m.N >= datagramBytes {
-		f.handler.Fault(FaultIP)
-		return
-	}
-	datagram := m.Buffers[0][:m.N]
-	var p carawaycart.Packet
-	if fault := f.decoder.Decode(datagram, &p); fault != FaultNone {
-		f.handler.Fault(fault)
-		return
-	}
-	p.Relayed = f.relayed
-	address, ok := f.handler.Handle(&p)
+func (f *forwarder) handle(b []byte) {
+	datagram, address, ok := f.translator.Translate(b)
 	if !ok {
 		return
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -92,6 +92,23 @@
 	return s.handler.Release(args)
 }
 
+// DirectoryHandler answers the calls of peers that share a directory.
+type DirectoryHandler interface {
+	// Directory returns what the requesting peer lacks.
+	Directory(*message.DirectoryRequest) (*message.DirectoryCopy, error)
+}
+
+// directoryService adapts a DirectoryHandler to the method signatures of net/rpc.
+type directoryService struct{ handler DirectoryHandler }
+
+// Directory serves DirectoryHandler.Directory.
+func (s *directoryService) Directory(args *message.DirectoryRequest, reply *message.DirectoryCopy) error {
+	result, err := s.handler.Directory(args)
+	return answer(reply, result, err, func(d, r *message.DirectoryCopy) {
+		d.AtRevision, d.AgeMs, d.CompressedBody = r.AtRevision, r.AgeMs, r.CompressedBody
+	})
+}
+
 // Server accepts the calls of peers.
 type Server struct {
 	listener net.Listener
@@ -103,8 +120,18 @@
 
 // NewServer serves handler on listener until Close, counting bytes with meter.
 func NewServer(listener net.Listener, handler Handler, meter Meter) (*Server, error) {
+	return newServer(listener, &service{handler}, meter)
+}
+
+// NewDirectoryServer serves handler on listener until Close, counting bytes
+// with meter.
+func NewDirectoryServer(listener net.Listener, handler DirectoryHandler, meter Meter) (*Server, error) {
+	return newServer(listener, &directoryService{handler}, meter)
+}
+
+func newServer(listener net.Listener, methods any, meter Meter) (*Server, error) {
 	r := rpc.NewServer()
-	if err := r.RegisterName("Peer", &service{handler}); err != nil {
+	if err := r.RegisterName("Peer", methods); err != nil {
 		return nil, errors.Annotate(err, "register peer service")
 	}
 	s := &Server{listener: listener, conns: make(map[net.Conn]struct{})}
--- /dev/null
+++ b/message/directory.go
@@ -0,0 +1,79 @@
+package message
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"carawaycart"
+	"carawaycart/core/directory"
+)
+
+// maxBody bounds an uncompressed DirectoryBody, in bytes.
+const maxBody = 64 << 20
+
+// FromItems returns the messages for items.
+func FromItems(items []carawaycart.StoreItem) []*StoreItem {
+	messages := make([]*StoreItem, len(items))
+	for i, item := range items {
+		messages[i] = &StoreItem{Key: item.Key, Value: item.Value, Revision: uint64(item.Revision)}
+	}
+	return messages
+}
+
+// ToItems returns the items that messages state.
+func ToItems(messages []*StoreItem) []carawaycart.StoreItem {
+	items := make([]carawaycart.StoreItem, len(messages))
+	for i, m := range messages {
+		items[i] = carawaycart.StoreItem{Key: m.GetKey(), Value: m.GetValue(), Revision: carawaycart.StoreRevision(m.GetRevision())}
+	}
+	return items
+}
+
+// ToDifference returns the changes that n tells.
+func ToDifference(n *DirectoryNews) directory.Difference {
+	return directory.Difference{
+		From: carawaycart.StoreRevision(n.GetFromRevision()), To: carawaycart.StoreRevision(n.GetToRevision()),
+		Items: ToItems(n.GetItems()), Missing: n.GetMissing(),
+	}
+}
+
+// FromCopy returns the message for c, which was confirmed by the store a time
+// of age ago.
+func FromCopy(c directory.Copy, age time.Duration) (*DirectoryCopy, error) {
+	data, err := proto.Marshal(&DirectoryBody{Items: FromItems(c.Items), Keys: c.Keys})
+	if err != nil {
+		return nil, errors.Annotate(err, "encode copy of directory")
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Annotate(err, "compress copy of directory")
+	}
+	if _, err = w.Write(data); err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		return nil, errors.Annotate(err, "compress copy of directory")
+	}
+	return &DirectoryCopy{AtRevision: uint64(c.At), AgeMs: uint32(age.Milliseconds()), CompressedBody: b.Bytes()}, nil
+}
+
+// ToCopy returns the copy that m holds; the error is NotValid.
+func ToCopy(m *DirectoryCopy) (directory.Copy, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.GetCompressedBody())), maxBody))
+	if err != nil {
+		return directory.Copy{}, errors.NewNotValid(err, "compressed copy of directory")
+	}
+	body := &DirectoryBody{}
+	if err := proto.Unmarshal(data, body); err != nil {
+		return directory.Copy{}, errors.NewNotValid(err, "copy of directory")
+	}
+	return directory.Copy{
+		At: carawaycart.StoreRevision(m.GetAtRevision()), Items: ToItems(body.GetItems()), Keys: body.GetKeys(),
+	}, nil
+}
