Read settings again on SIGHUP and when the file changes

Change: a watch reads the file at each signal and every 2 s; limits and the store's address take effect at once, the rest at the next start.

--- a/cmd/carawaycart/balancer.go
+++ b/cmd/carawaycart/balancer.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -42,7 +44,7 @@
 		return err
 	}
 	if s.Format == settings.FormatToken {
-		return runEdge(ctx, s)
+		return runEdge(ctx, path, s)
 	}
 	sockets, err := balancer.Open(s)
 	if err != nil {
@@ -59,8 +61,11 @@
 	return b.Stop(stop)
 }
 
-// runEdge runs an instance for packets that carry tokens until ctx ends.
-func runEdge(ctx context.Context, s settings.Settings) error {
+// runEdge runs an instance for packets that carry tokens until ctx ends, and
+// reads its settings again when the file at path changes or SIGHUP comes.
+func runEdge(ctx context.Context, path string, s settings.Settings) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	log := eventlog.New(s.ID, os.Stdout)
 	defer log.Close()
 	sockets, err := edge.Open(s)
@@ -71,7 +76,9 @@
 	if err != nil {
 		return err
 	}
+	watch := settings.NewWatch(path, hangup, e.Reload)
 	<-ctx.Done()
+	watch.Close()
 	e.Stop()
 	return nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,7 +29,7 @@
 
 // Edge is one running instance.
 type Edge struct {
-	settings settings.Settings
+	settings atomic.Pointer[settings.Settings]
 	clock    carawaycart.Clock
 	log      *eventlog.Log
 	counters *Counters
@@ -52,7 +52,8 @@
 // New returns a running instance with the given settings and open sockets.
 func New(s settings.Settings, o *Sockets, log *eventlog.Log) (*Edge, error) {
 	clock := carawaycart.NewSteadyClock()
-	e := &Edge{settings: s, clock: clock, log: log, counters: NewCounters()}
+	e := &Edge{clock: clock, log: log, counters: NewCounters()}
+	e.settings.Store(&s)
 	e.router = steer.NewRouter(s.Zone, rand.NewPCG(rand.Uint64(), rand.Uint64()), &observer{e.counters, log})
 	e.view = NewView(s.ID, steer.Limits{ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack}, e.router, clock, log)
 	e.store = platform.NewStore(s.Store, e.counters.StoreCall)
@@ -77,9 +78,10 @@
 
 // join asks the seeds for what they know, while the reader asks the store.
 func (e *Edge) join() {
-	for _, a := range e.settings.Seeds {
-		address := netip.AddrPortFrom(a.Addr(), e.settings.Peer.Port())
-		if address == e.settings.Peer {
+	s := e.settings.Load()
+	for _, a := range s.Seeds {
+		address := netip.AddrPortFrom(a.Addr(), s.Peer.Port())
+		if address == s.Peer {
 			continue
 		}
 		go func() {
@@ -90,6 +92,24 @@
 	}
 }
 
+// Reload takes in settings that were read again, or the reason why they could
+// not be. What names the instance or a socket takes effect at the next start.
+func (e *Edge) Reload(s settings.Settings, err error) {
+	if err == nil && s.Format != settings.FormatToken {
+		err = errors.NotValidf("change of format to %q", s.Format)
+	}
+	if err != nil {
+		e.log.Event("reloadRefused").Err(err).End()
+		return
+	}
+	old := e.settings.Swap(&s)
+	e.store.SetBase(s.Store)
+	e.view.SetLimits(steer.Limits{ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack})
+	restart := s.ID != old.ID || s.Zone != old.Zone || s.Fabric != old.Fabric || s.Ready != old.Ready ||
+		s.Peer != old.Peer || s.Operator != old.Operator || s.FabricThreads != old.FabricThreads
+	e.log.Event("reloaded").Text("store", s.Store).Bool("restartNeeded", restart).End()
+}
+
 // Ready reports whether the fabric may send packets.
 func (e *Edge) Ready() bool { return !e.stopping.Load() && e.router.Table().Complete() }
 
@@ -99,7 +119,7 @@
 	began := e.clock.Now()
 	e.stopping.Store(true)
 	e.log.Event("stopping").End()
-	deadline := began.Add(e.settings.GraceSeconds.Duration() - stopReserve)
+	deadline := began.Add(e.settings.Load().GraceSeconds.Duration() - stopReserve)
 	for now := began; now.Before(deadline); now = e.clock.Now() {
 		quiet := now.Sub(time.Unix(0, e.last.Load())) > quietPeriod
 		if quiet && now.Sub(began) > noticePeriod {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -41,6 +41,19 @@
 	}
 }
 
+// SetLimits makes the tables that follow obey l.
+func (v *View) SetLimits(l steer.Limits) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.limits == l {
+		return
+	}
+	v.limits = l
+	if v.directory.At() != 0 {
+		v.rebuild("settings", v.clock.Now())
+	}
+}
+
 // State is what the view is at one moment.
 type State struct {
 	At        carawaycart.StoreRevision
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -171,6 +171,11 @@
 	return e
 }
 
+// Bool adds a truth value.
+func (e *Line) Bool(name string, value bool) *Line {
+	return e.Text(name, strconv.FormatBool(value))
+}
+
 // Millis adds a span of time in milliseconds.
 func (e *Line) Millis(name string, d time.Duration) *Line { return e.Int(name, d.Milliseconds()) }
 
