Send unanswered first packets to another endpoint; reset repeatable flows of silent ones

Change: a first packet whose answer is overdue (RFC 6298 estimate, 20 to 150 ms) goes to up to two more endpoints. An endpoint that left two packets unanswered is probed; if it answers neither, repeatable requests on its flows are reset.

Ruled out: that two answering endpoints put two tokens on a flow.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -50,7 +50,7 @@
 	c := Candidate{
 		Outstanding: r.opening + r.waiting, Open: r.open, Slots: e.lifetime.Slots,
 		SameZone: e.lifetime.Zone == zone, Lapsed: e.presence == directory.Lapsed,
-		Avoided: r.misses > 0 && (now.Before(r.avoid) || r.opening > 0),
+		Avoided: r.misses > 0 && (now.Before(r.avoid) || r.opening > 0), Silent: r.silent,
 	}
 	if now.Before(e.coldUntil) {
 		c.Cold = true
@@ -73,6 +73,7 @@
 const (
 	firstAvoidance = 500 * time.Millisecond
 	maxDoublings   = 3
+	doubtMisses    = 2 // in a row, after which the endpoint is probed
 )
 
 // record is what an instance has learnt of one lifetime.
@@ -82,6 +83,7 @@
 	waiting  int // requests that were not answered yet
 	open     int // flows known here
 	misses   int // first packets or requests in a row that went unanswered
+	silent   bool
 	avoid    time.Time
 	answered time.Time
 	taken    []time.Time // when it was given flows while cold, lately
@@ -93,22 +95,45 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	doubt := r.misses > 0
-	r.misses, r.avoid, r.answered = 0, time.Time{}, now
+	r.misses, r.silent, r.avoid, r.answered = 0, false, time.Time{}, now
 	return doubt
 }
 
 // miss notes that something sent at sent was unanswered at now, and returns how
-// long the endpoint is avoided, zero if an answer came since.
-func (r *record) miss(sent, now time.Time) time.Duration {
+// long the endpoint is avoided, zero if an answer came since, and whether it is
+// to be probed.
+func (r *record) miss(sent, now time.Time) (period time.Duration, probe bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.answered.After(sent) {
-		return 0
+		return 0, false
 	}
-	span := firstAvoidance << r.misses
-	r.misses = min(r.misses+1, maxDoublings)
-	r.avoid = now.Add(span)
-	return span
+	period = firstAvoidance << min(r.misses, maxDoublings)
+	r.misses++
+	r.avoid = now.Add(period)
+	return period, r.misses >= doubtMisses && !r.silent
+}
+
+// probed notes the outcome of a probe that began at began: the endpoint is
+// silent if it answered neither the probe nor anything else since.
+func (r *record) probed(alive bool, began, now time.Time) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case alive:
+		changed = r.silent
+		r.misses, r.silent, r.avoid, r.answered = 0, false, time.Time{}, now
+	case !r.silent && !r.answered.After(began):
+		changed, r.silent = true, true
+	}
+	return changed
+}
+
+// isSilent reports whether the endpoint answers nothing.
+func (r *record) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
 }
 
 // adjust changes the counts of what is outstanding.
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -19,7 +19,9 @@
 // flow is what an instance has seen of one flow. It serves placement only.
 type flow struct {
 	endpoint *endpoint
+	tried    []*endpoint // which the first packet was sent to before
 	opened   time.Time
+	sent     time.Time // when the first packet was sent to endpoint
 	last     time.Time
 	phase    phase
 	waiting  bool // a request was sent and not answered
@@ -32,7 +34,7 @@
 
 const (
 	phaseOpening phase = iota // the first packet may still be answered
-	phaseSilent               // the first packet was not answered in time
+	phaseSilent               // the first packet was not answered in time by anyone
 	phaseOpen                 // the caller has acknowledged the endpoint's answer
 )
 
--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -7,6 +7,8 @@
 	Slots       int // requests that it runs at once
 	SameZone    bool
 	Avoided     bool // left something unanswered lately
+	Silent      bool // answered no probe either
+	Tried       bool // was sent this flow's first packet before
 	Lapsed      bool // its entry is missing for now
 	Cold        bool
 	Full        bool // cold, and at its limit
@@ -36,6 +38,10 @@
 	switch {
 	case c.Full:
 		return tierNone
+	case c.Tried:
+		return tierTried
+	case c.Silent:
+		return tierSilent
 	case c.Avoided && c.Lapsed:
 		return tierLast
 	case c.Avoided:
@@ -52,6 +58,8 @@
 	tierLapsed
 	tierAvoided
 	tierLast
+	tierSilent
+	tierTried
 	tierNone
 )
 
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -11,18 +11,22 @@
 )
 
 const (
-	answerPeriod = 80 * time.Millisecond  // for the answer to a first packet; a round trip takes about 10 ms
 	resendPeriod = 150 * time.Millisecond // ends resend after 200 ms; less is a duplicate of the network
+	maxTried     = 3                      // endpoints that one first packet is sent to before its copy comes
 )
 
 // Observer is told what decisions are made of and what they change.
 type Observer interface {
 	// Placed is told that a first packet was given to an endpoint.
-	Placed(p *carawaycart.Packet, e carawaycart.EndpointID, outstanding, candidates int, revision carawaycart.StoreRevision)
+	Placed(key *carawaycart.FlowKey, e carawaycart.EndpointID, c *Candidate, how Placing)
 	// Refused is told that a packet was not forwarded.
 	Refused(p *carawaycart.Packet, c carawaycart.Cause, reset bool, revision carawaycart.StoreRevision)
 	// Avoided is told that an endpoint left something unanswered.
 	Avoided(e carawaycart.EndpointID, what string, period time.Duration)
+	// Doubted is told that an endpoint should be probed.
+	Doubted(l *carawaycart.Lifetime)
+	// Silenced is told that an endpoint answers nothing, or does again.
+	Silenced(e carawaycart.EndpointID, silent bool)
 	// Recovered is told that an avoided endpoint has answered.
 	Recovered(e carawaycart.EndpointID)
 }
@@ -38,20 +42,13 @@
 	mu         sync.Mutex // guards what follows
 	random     *rand.Rand
 	candidates []Candidate
-	pending    []pendingFirst // in order of sent
-}
-
-// pendingFirst is a first packet whose answer has not been seen.
-type pendingFirst struct {
-	key      carawaycart.FlowKey
-	endpoint *endpoint
-	sent     time.Time
+	patience   map[carawaycart.ZoneID]*patience // by zone of the endpoint
 }
 
 // NewRouter returns a router for an instance in zone that draws random numbers
 // from source.
 func NewRouter(zone carawaycart.ZoneID, source rand.Source, o Observer) *Router {
-	return &Router{zone: zone, flows: newFlowTable(), observer: o, random: rand.New(source)}
+	return &Router{zone: zone, flows: newFlowTable(), observer: o, random: rand.New(source), patience: make(map[carawaycart.ZoneID]*patience)}
 }
 
 // SetTable makes the router decide by t from now on.
@@ -79,6 +76,8 @@
 		return r.refuse(p, carawaycart.CauseUnknownToken, false, t.Revision)
 	case e.presence == directory.Ended:
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
+	case p.DataBytes > 0 && route.repeatable && e.record.isSilent():
+		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
 	}
 	r.watch(p, e, now)
 	return forward(e)
@@ -86,7 +85,7 @@
 
 func forward(e *endpoint) carawaycart.Decision {
 	return carawaycart.Decision{
-		Verdict: carawaycart.VerdictForward, Endpoint: e.lifetime.ID,
+		Verdict: carawaycart.VerdictForward, Endpoint: e.lifetime.ID, Zone: e.lifetime.Zone,
 		Token: e.token, Number: e.lifetime.Number, Address: e.lifetime.Address,
 	}
 }
@@ -103,36 +102,87 @@
 
 // first decides the first packet of a flow.
 func (r *Router) first(t *Table, route *route, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
-	r.expire(now)
 	s := r.flows.shard(&p.Key)
 	defer s.mu.Unlock()
-	var avoid *endpoint
+	var tried []*endpoint
 	if f := s.flows[p.Key]; f != nil {
 		if f.phase == phaseOpen || now.Sub(f.opened) < resendPeriod {
 			f.last = now
 			return forward(f.endpoint) // a duplicate
 		}
-		r.missed(f.endpoint, "first", f.opened, now)
-		avoid = f.endpoint
+		if f.phase == phaseOpening {
+			r.missed(f.endpoint, "first", f.sent, now)
+		}
+		tried = append(f.tried, f.endpoint)
 		s.remove(p.Key, f)
 	}
-	e, cause := r.place(t, route, p, avoid, now)
+	e, cause := r.place(t, route, &p.Key, p.Copy, tried, now)
 	if e == nil {
 		return r.refuse(p, cause, true, t.Revision)
 	}
 	e.take(now)
-	if s.put(p.Key, &flow{endpoint: e, opened: now, last: now, sequence: p.Sequence}, now) {
-		r.mu.Lock()
-		r.pending = append(r.pending, pendingFirst{p.Key, e, now})
-		r.mu.Unlock()
-	} else {
+	if !s.put(p.Key, &flow{endpoint: e, opened: now, sent: now, last: now, sequence: p.Sequence}, now) {
 		e.record.adjust(-1, 0, 0)
 	}
 	return forward(e)
 }
 
-// place chooses an endpoint for the flow of p, not avoid if there is another.
-func (r *Router) place(t *Table, route *route, p *carawaycart.Packet, avoid *endpoint, now time.Time) (*endpoint, carawaycart.Cause) {
+// Patience returns how long the answer to a first packet that was sent to an
+// endpoint in zone may take.
+func (r *Router) Patience(zone carawaycart.ZoneID) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.patienceOf(zone).limit()
+}
+
+func (r *Router) patienceOf(zone carawaycart.ZoneID) *patience {
+	p := r.patience[zone]
+	if p == nil {
+		p = &patience{}
+		r.patience[zone] = p
+	}
+	return p
+}
+
+// Hedge returns where the first packet of the flow at key is to be sent besides,
+// if its answer is overdue at now. Whichever endpoint answers first is the one
+// that the caller acknowledges; it ignores the others.
+func (r *Router) Hedge(key *carawaycart.FlowKey, now time.Time) (carawaycart.Decision, bool) {
+	t := r.table.Load()
+	s := r.flows.shard(key)
+	defer s.mu.Unlock()
+	f := s.flows[*key]
+	if f == nil || f.phase != phaseOpening {
+		return carawaycart.Decision{}, false
+	}
+	r.missed(f.endpoint, "first", f.sent, now)
+	f.tried = append(f.tried, f.endpoint)
+	var e *endpoint
+	if route := t.routes[key.Service]; route != nil && len(f.tried) < maxTried {
+		e, _ = r.place(t, route, key, 0, f.tried, now)
+	}
+	f.endpoint.record.adjust(-1, 0, 0)
+	if e == nil || isTried(f.tried, e) {
+		f.phase = phaseSilent
+		return carawaycart.Decision{}, false
+	}
+	e.take(now)
+	f.endpoint, f.sent = e, now
+	return forward(e), true
+}
+
+func isTried(tried []*endpoint, e *endpoint) bool {
+	for _, t := range tried {
+		if t.record == e.record {
+			return true
+		}
+	}
+	return false
+}
+
+// place chooses an endpoint for a flow, one that was not tried if there is any.
+func (r *Router) place(t *Table, route *route, key *carawaycart.FlowKey, copied int, tried []*endpoint, now time.Time,
+) (*endpoint, carawaycart.Cause) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	endpoints := route.choose(r.random)
@@ -140,7 +190,7 @@
 	cold := false
 	for _, e := range endpoints {
 		c := e.candidate(r.zone, now)
-		c.Avoided = c.Avoided || avoid != nil && e.record == avoid.record
+		c.Tried = isTried(tried, e)
 		cold = cold || c.Full
 		r.candidates = append(r.candidates, c)
 	}
@@ -151,10 +201,20 @@
 		}
 		return nil, carawaycart.CauseNoEndpoint
 	}
-	r.observer.Placed(p, endpoints[i].lifetime.ID, r.candidates[i].Outstanding, len(endpoints), t.Revision)
+	r.observer.Placed(key, endpoints[i].lifetime.ID, &r.candidates[i], Placing{
+		Copy: copied, Hedge: len(tried), Candidates: len(endpoints), Revision: t.Revision,
+	})
 	return endpoints[i], carawaycart.CauseNone
 }
 
+// Placing is what else is known when a flow is placed.
+type Placing struct {
+	Copy       int // of the first packet
+	Hedge      int // endpoints that were tried before
+	Candidates int
+	Revision   carawaycart.StoreRevision
+}
+
 // choose returns the endpoints of one of the route's targets, drawn by weight
 // from those that have any.
 func (r *route) choose(random *rand.Rand) []*endpoint {
@@ -183,35 +243,28 @@
 	return nil
 }
 
-// expire counts the first packets that were not answered in time.
-func (r *Router) expire(now time.Time) {
-	for {
-		r.mu.Lock()
-		if len(r.pending) == 0 || now.Sub(r.pending[0].sent) < answerPeriod {
-			r.mu.Unlock()
-			return
-		}
-		first := r.pending[0]
-		r.pending = r.pending[1:]
-		r.mu.Unlock()
-		s := r.flows.shard(&first.key)
-		f := s.flows[first.key]
-		unanswered := f != nil && f.phase == phaseOpening && f.opened.Equal(first.sent)
-		if unanswered {
-			f.phase = phaseSilent
-			first.endpoint.record.adjust(-1, 0, 0)
-		}
-		s.mu.Unlock()
-		if unanswered {
-			r.missed(first.endpoint, "first", first.sent, now)
-		}
+func (r *Router) missed(e *endpoint, what string, sent, now time.Time) {
+	period, probe := e.record.miss(sent, now)
+	if period > 0 {
+		r.observer.Avoided(e.lifetime.ID, what, period)
+	}
+	if probe {
+		r.observer.Doubted(&e.lifetime)
 	}
 }
 
-func (r *Router) missed(e *endpoint, what string, sent, now time.Time) {
-	if period := e.record.miss(sent, now); period > 0 {
-		r.observer.Avoided(e.lifetime.ID, what, period)
+// Probed takes in the outcome of a probe that began at began, and reports
+// whether the endpoint should be probed again.
+func (r *Router) Probed(key carawaycart.LifetimeKey, alive bool, began, now time.Time) bool {
+	t := r.table.Load()
+	if t == nil || t.byKey[key] == nil || t.byKey[key].presence == directory.Ended {
+		return false
+	}
+	e := t.byKey[key]
+	if e.record.probed(alive, began, now) {
+		r.observer.Silenced(e.lifetime.ID, !alive)
 	}
+	return e.record.isSilent()
 }
 
 // watch takes in what a later packet of a flow at e tells about e.
@@ -219,6 +272,11 @@
 	s := r.flows.shard(&p.Key)
 	defer s.mu.Unlock()
 	f := s.flows[p.Key]
+	if f != nil && f.phase != phaseOpen && isTried(f.tried, e) {
+		// The answer of an endpoint that was tried before came first after all.
+		f.endpoint.record.adjust(-one(f.phase == phaseOpening), 0, 0)
+		f.phase, f.endpoint, f.sent = phaseSilent, e, f.opened
+	}
 	if f == nil || f.endpoint.record != e.record {
 		if p.DataBytes == 0 || p.Kind == carawaycart.PacketLast {
 			return
@@ -246,6 +304,9 @@
 		e.record.adjust(-one(f.phase == phaseOpening), 0, 1)
 		f.phase = phaseOpen
 		f.acked = p.Acknowledged
+		r.mu.Lock()
+		r.patienceOf(e.lifetime.Zone).observe(now.Sub(f.sent))
+		r.mu.Unlock()
 		r.heard(e, now)
 	}
 	if int32(p.Acknowledged-f.acked) > 0 {
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -18,13 +18,14 @@
 	owners map[carawaycart.Token]*endpoint
 	byKey  map[carawaycart.LifetimeKey]*endpoint
 	zones  map[carawaycart.ZoneID]bool // out
+
+	policies map[carawaycart.ServiceID]carawaycart.ServicePolicy
 }
 
 // route is where the new flows of an address go.
 type route struct {
-	name    string
-	targets []target
-	weight  int // sum over targets
+	targets    []target
+	repeatable bool // its requests may run more than once
 }
 
 type target struct {
@@ -75,6 +76,7 @@
 			policies[s.ID] = s
 		}
 	}
+	t.policies = policies
 	var keys []carawaycart.LifetimeKey
 	in.Roster.All(func(s *directory.Seen) {
 		key := s.Lifetime.Key()
@@ -83,7 +85,9 @@
 			old = previous.byKey[key]
 		}
 		e := newEndpoint(s, old, t.returned(previous, s.Lifetime.Zone), now)
-		e.coldShare = coldShare(in, policies[s.Lifetime.Service], key)
+		if now.Before(e.coldUntil) {
+			e.coldShare = coldShare(in, policies[s.Lifetime.Service], key)
+		}
 		t.byKey[key] = e
 		keys = append(keys, key)
 	})
@@ -128,18 +132,18 @@
 		}
 	}
 	for i := range c.Routes {
-		r := &route{name: c.Routes[i].Name}
-		for _, target := range c.Routes[i].Targets {
-			r.add(services[target.Service], target.Weight)
+		r := &route{repeatable: c.Routes[i].Kind == carawaycart.RequestSafe}
+		for _, to := range c.Routes[i].Targets {
+			r.targets = append(r.targets, target{endpoints: services[to.Service], weight: to.Weight})
 		}
 		t.routes[c.Routes[i].Address] = r
 	}
 }
 
-func (r *route) add(endpoints []*endpoint, weight int) {
-	r.targets = append(r.targets, target{endpoints: endpoints, weight: weight})
-	r.weight += weight
-}
-
 // Complete reports whether packets can be decided by t.
 func (t *Table) Complete() bool { return t != nil && t.Version != 0 }
+
+// HealthPath returns where endpoints of service answer whether they are well.
+func (t *Table) HealthPath(service carawaycart.ServiceID) string {
+	return t.policies[service].HealthPath
+}
--- a/flow.go
+++ b/flow.go
@@ -118,6 +118,7 @@
 	CauseEnded                // the endpoint that owned the flow has ended
 	CauseUnknownToken         // no known endpoint has the packet's token
 	CauseCold                 // every endpoint that may take the flow is cold and at its limit
+	CauseSilent               // the endpoint that owns the flow answers nothing
 	causeCount
 )
 
@@ -126,7 +127,7 @@
 
 var causeNames = [CauseCount]string{
 	"none", "unknownService", "noEndpoint", "noKeeper", "notKeeper", "noCapacity", "spreading", "notReady",
-	"noRoute", "ended", "unknownToken", "cold",
+	"noRoute", "ended", "unknownToken", "cold", "silent",
 }
 
 // String returns the name of c as used in metrics.
@@ -148,6 +149,7 @@
 	// The fields below are set only by formats whose packets carry a Token.
 
 	Token   Token      // to be written into a first packet
+	Zone    ZoneID     // of the endpoint
 	Number  HostNumber // of the endpoint at Address
 	Address netip.AddrPort
 }
--- a/internal/edge/counters.go
+++ b/internal/edge/counters.go
@@ -20,7 +20,10 @@
 
 	Forwarded metrics.Counter
 	Placed    metrics.Counter
+	Hedged    metrics.Counter
 	Avoided   metrics.Counter
+	Silenced  metrics.Counter
+	Probes    metrics.Counter
 	NewsBytes metrics.Counter
 	Revision  metrics.Gauge
 	ViewAge   metrics.Gauge // milliseconds
@@ -47,6 +50,9 @@
 		Forwarded:  metrics.NewRegisteredCounter("packetsForwarded", r),
 		Placed:     metrics.NewRegisteredCounter("flowsPlaced", r),
 		Avoided:    metrics.NewRegisteredCounter("endpointsAvoided", r),
+		Hedged:     metrics.NewRegisteredCounter("firstPacketsHedged", r),
+		Silenced:   metrics.NewRegisteredCounter("endpointsSilent", r),
+		Probes:     metrics.NewRegisteredCounter("probes", r),
 		NewsBytes:  metrics.NewRegisteredCounter("peerBytes.news", r),
 		Revision:   metrics.NewRegisteredGauge("storeRevision", r),
 		ViewAge:    metrics.NewRegisteredGauge("viewAgeMillis", r),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,8 @@
 	courier   *Courier
 	registrar *Registrar
 	reader    *Reader
+	prober    *Prober
+	hedger    *Hedger
 	peers     *peer.Server
 	port      *fabric.Port
 	servers   []*http.Server
@@ -54,7 +56,10 @@
 	clock := carawaycart.NewSteadyClock()
 	e := &Edge{clock: clock, log: log, counters: NewCounters()}
 	e.settings.Store(&s)
-	e.router = steer.NewRouter(s.Zone, rand.NewPCG(rand.Uint64(), rand.Uint64()), &observer{e.counters, log})
+	e.prober = NewProber(clock, e.counters, log)
+	e.router = steer.NewRouter(s.Zone, rand.NewPCG(rand.Uint64(), rand.Uint64()), &observer{e.counters, log, e.prober})
+	e.prober.router = e.router
+	e.hedger = NewHedger(e.router, o.Fabric, clock, log)
 	e.view = NewView(s.ID, steer.Limits{ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack}, e.router, clock, log)
 	e.store = platform.NewStore(s.Store, e.counters.StoreCall)
 	e.client = peer.NewClient(e.counters)
@@ -66,7 +71,7 @@
 		return nil, err
 	}
 	e.port = fabric.NewTranslatorPort(o.Fabric, s.FabricThreads, func() fabric.Translator {
-		return &packets{router: e.router, clock: clock, counters: e.counters, resetPort: s.Fabric.Port(), last: &e.last}
+		return &packets{router: e.router, clock: clock, counters: e.counters, resetPort: s.Fabric.Port(), last: &e.last, hedger: e.hedger}
 	})
 	e.servers = append(e.servers, newReadyServer(o.Ready, platform.ReadyPath, e.Ready))
 	e.servers = append(e.servers, newMetricsServer(o.Operator, e))
@@ -144,6 +149,8 @@
 			e.log.Event("closeFailed").Err(err).End()
 		}
 	}
+	e.hedger.Close()
+	e.prober.Close()
 	e.client.Close()
 	e.store.Close()
 }
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/steer"
 	"carawaycart/internal/eventlog"
 )
 
@@ -11,13 +12,18 @@
 type observer struct {
 	counters *Counters
 	log      *eventlog.Log
+	prober   *Prober
 }
 
 // Placed logs which endpoint takes a flow.
-func (o *observer) Placed(p *carawaycart.Packet, e carawaycart.EndpointID, outstanding, candidates int, r carawaycart.StoreRevision) {
+func (o *observer) Placed(key *carawaycart.FlowKey, e carawaycart.EndpointID, c *steer.Candidate, how steer.Placing) {
 	o.counters.Placed.Inc(1)
-	o.log.Event("placed").Flow(&p.Key).Int("copy", int64(p.Copy)).Text("endpoint", string(e)).
-		Int("outstanding", int64(outstanding)).Int("candidates", int64(candidates)).Int("revision", int64(r)).End()
+	if how.Hedge > 0 {
+		o.counters.Hedged.Inc(1)
+	}
+	o.log.Event("placed").Flow(key).Int("copy", int64(how.Copy)).Int("hedge", int64(how.Hedge)).Text("endpoint", string(e)).
+		Int("outstanding", int64(c.Outstanding)).Bool("avoided", c.Avoided).Bool("cold", c.Cold).
+		Int("candidates", int64(how.Candidates)).Int("revision", int64(how.Revision)).End()
 }
 
 // Refused logs why a packet was not forwarded.
@@ -40,3 +46,19 @@
 func (o *observer) Recovered(e carawaycart.EndpointID) {
 	o.log.Event("recovered").Text("endpoint", string(e)).End()
 }
+
+// Doubted has the endpoint probed.
+func (o *observer) Doubted(l *carawaycart.Lifetime) { o.prober.Probe(l) }
+
+// Silenced logs that an endpoint answers nothing, or does again.
+func (o *observer) Silenced(e carawaycart.EndpointID, silent bool) {
+	o.counters.Silenced.Inc(one(silent))
+	o.log.Event("silent").Text("endpoint", string(e)).Bool("silent", silent).End()
+}
+
+func one(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -17,6 +17,7 @@
 	counters  *Counters
 	resetPort uint16        // of callers, for packets of the fabric
 	last      *atomic.Int64 // when a packet came last, in Unix nanoseconds of clock
+	hedger    *Hedger
 	packet    carawaycart.Packet
 }
 
@@ -45,6 +46,9 @@
 			platform.SetToken(data, d.Token)
 		}
 		platform.PutNumber(b, d.Number)
+		if p.Kind == carawaycart.PacketFirst {
+			t.hedger.Hold(&p.Key, b, d.Zone, now)
+		}
 		return b, d.Address, true
 	case carawaycart.VerdictReset:
 		n := platform.PutReset(data, p)
--- /dev/null
+++ b/internal/edge/prober.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/steer"
+	"carawaycart/internal/eventlog"
+)
+
+const (
+	probeLimit  = 150 * time.Millisecond // for the answer to a probe; a round trip takes up to 45 ms between regions
+	probePeriod = 400 * time.Millisecond // between probes of a silent endpoint, doubled up to the next
+	maxProbe    = 1600 * time.Millisecond
+)
+
+// Prober asks endpoints that left packets unanswered whether they are there.
+type Prober struct {
+	router   *steer.Router
+	clock    carawaycart.Clock
+	counters *Counters
+	log      *eventlog.Log
+	client   *http.Client
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	mu     sync.Mutex
+	asking map[carawaycart.LifetimeKey]bool
+}
+
+// NewProber returns a prober; it must be given a router before its first use.
+func NewProber(k carawaycart.Clock, c *Counters, log *eventlog.Log) *Prober {
+	p := &Prober{
+		clock: k, counters: c, log: log, asking: make(map[carawaycart.LifetimeKey]bool),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p
+}
+
+// Close stops probing.
+func (p *Prober) Close() {
+	p.cancel()
+	p.done.Wait()
+}
+
+// Probe asks the endpoint of l until it answers or has ended.
+func (p *Prober) Probe(l *carawaycart.Lifetime) {
+	key := l.Key()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking[key] || p.ctx.Err() != nil {
+		return
+	}
+	p.asking[key] = true
+	address := l.Address.String()
+	service := l.Service
+	p.done.Go(func() {
+		defer func() {
+			p.mu.Lock()
+			delete(p.asking, key)
+			p.mu.Unlock()
+		}()
+		for period := probePeriod; ; period = min(2*period, maxProbe) {
+			began := p.clock.Now()
+			alive := p.ask("http://" + address + p.router.Table().HealthPath(service))
+			if !p.router.Probed(key, alive, began, p.clock.Now()) {
+				return
+			}
+			select {
+			case <-p.ctx.Done():
+				return
+			case <-time.After(period):
+			}
+		}
+	})
+}
+
+// ask reports whether anything answers at url; what it answers does not matter.
+func (p *Prober) ask(url string) bool {
+	ctx, cancel := context.WithTimeout(p.ctx, probeLimit)
+	defer cancel()
+	p.counters.Probes.Inc(1)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		p.log.Event("probeFailed").Err(err).End()
+		return true // an endpoint that cannot be asked is not condemned
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return true
+}
