Refuse new flows by priority while answers come late

Change: each instance watches how many answers take longer than their route's target. While more than 15% do, a growing share of the least urgent new flows is reset at once; the most urgent class follows in smaller steps. A caller is refused or admitted alike for a second, so that retries push nobody aside.

--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -25,6 +25,9 @@
 	last     time.Time
 	phase    phase
 	waiting  bool // a request was sent and not answered
+	asked    time.Time
+	admitted *Admission    // of the service
+	target   time.Duration // for an answer
 	sequence uint32
 	acked    uint32
 }
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -79,7 +79,7 @@
 	case p.DataBytes > 0 && route.repeatable && e.record.isSilent():
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
 	}
-	r.watch(p, e, now)
+	r.watch(p, route, e, now)
 	return forward(e)
 }
 
@@ -116,12 +116,23 @@
 		tried = append(f.tried, f.endpoint)
 		s.remove(p.Key, f)
 	}
-	e, cause := r.place(t, route, &p.Key, p.Copy, tried, now)
+	to := r.target(route)
+	if to == nil {
+		return r.refuse(p, carawaycart.CauseNoEndpoint, true, t.Revision)
+	}
+	if to.admission.Refuses(p.Key, to.class, to.top, now) {
+		return r.refuse(p, carawaycart.CauseOverload, true, t.Revision)
+	}
+	e, cause := r.place(t, to, &p.Key, p.Copy, tried, now)
 	if e == nil {
 		return r.refuse(p, cause, true, t.Revision)
 	}
 	e.take(now)
-	if !s.put(p.Key, &flow{endpoint: e, opened: now, sent: now, last: now, sequence: p.Sequence}, now) {
+	f := &flow{
+		endpoint: e, opened: now, sent: now, last: now, sequence: p.Sequence,
+		admitted: to.admission, target: route.answerTime,
+	}
+	if !s.put(p.Key, f, now) {
 		e.record.adjust(-1, 0, 0)
 	}
 	return forward(e)
@@ -159,7 +170,9 @@
 	f.tried = append(f.tried, f.endpoint)
 	var e *endpoint
 	if route := t.routes[key.Service]; route != nil && len(f.tried) < maxTried {
-		e, _ = r.place(t, route, key, 0, f.tried, now)
+		if to := r.target(route); to != nil {
+			e, _ = r.place(t, to, key, 0, f.tried, now)
+		}
 	}
 	f.endpoint.record.adjust(-1, 0, 0)
 	if e == nil || isTried(f.tried, e) {
@@ -181,11 +194,11 @@
 }
 
 // place chooses an endpoint for a flow, one that was not tried if there is any.
-func (r *Router) place(t *Table, route *route, key *carawaycart.FlowKey, copied int, tried []*endpoint, now time.Time,
+func (r *Router) place(t *Table, to *target, key *carawaycart.FlowKey, copied int, tried []*endpoint, now time.Time,
 ) (*endpoint, carawaycart.Cause) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	endpoints := route.choose(r.random)
+	endpoints := to.endpoints
 	r.candidates = r.candidates[:0]
 	cold := false
 	for _, e := range endpoints {
@@ -215,30 +228,33 @@
 	Revision   carawaycart.StoreRevision
 }
 
-// choose returns the endpoints of one of the route's targets, drawn by weight
-// from those that have any.
-func (r *route) choose(random *rand.Rand) []*endpoint {
-	if len(r.targets) == 1 {
-		return r.targets[0].endpoints
+// target returns one of the targets of t, drawn by weight from those that have
+// endpoints, or nil.
+func (r *Router) target(t *route) *target {
+	if len(t.targets) == 1 {
+		return &t.targets[0]
 	}
 	total := 0
-	for _, t := range r.targets {
-		if len(t.endpoints) > 0 {
-			total += t.weight
+	for i := range t.targets {
+		if len(t.targets[i].endpoints) > 0 {
+			total += t.targets[i].weight
 		}
 	}
 	if total == 0 {
 		return nil
 	}
-	n := random.IntN(total)
-	for _, t := range r.targets {
-		if len(t.endpoints) == 0 {
+	r.mu.Lock()
+	n := r.random.IntN(total)
+	r.mu.Unlock()
+	for i := range t.targets {
+		to := &t.targets[i]
+		if len(to.endpoints) == 0 {
 			continue
 		}
-		if n < t.weight {
-			return t.endpoints
+		if n < to.weight {
+			return to
 		}
-		n -= t.weight
+		n -= to.weight
 	}
 	return nil
 }
@@ -268,7 +284,7 @@
 }
 
 // watch takes in what a later packet of a flow at e tells about e.
-func (r *Router) watch(p *carawaycart.Packet, e *endpoint, now time.Time) {
+func (r *Router) watch(p *carawaycart.Packet, via *route, e *endpoint, now time.Time) {
 	s := r.flows.shard(&p.Key)
 	defer s.mu.Unlock()
 	f := s.flows[p.Key]
@@ -285,6 +301,9 @@
 			s.remove(p.Key, f)
 		}
 		f = &flow{endpoint: e, opened: now, phase: phaseOpen, acked: p.Acknowledged, sequence: p.Sequence - 1}
+		if len(via.targets) == 1 {
+			f.admitted, f.target = via.targets[0].admission, via.answerTime
+		}
 		if !s.put(p.Key, f, now) {
 			return
 		}
@@ -315,6 +334,9 @@
 		if f.waiting {
 			f.waiting = false
 			e.record.adjust(0, -1, 0)
+			if f.admitted != nil {
+				f.admitted.Answered(now.Sub(f.asked), f.target, now)
+			}
 		}
 	}
 	if p.DataBytes == 0 {
@@ -323,7 +345,7 @@
 	if int32(p.Sequence-f.sequence) > 0 {
 		f.sequence = p.Sequence
 		if !f.waiting {
-			f.waiting = true
+			f.waiting, f.asked = true, now
 			e.record.adjust(0, 1, 0)
 		}
 		return
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"carawaycart"
@@ -19,18 +20,23 @@
 	byKey  map[carawaycart.LifetimeKey]*endpoint
 	zones  map[carawaycart.ZoneID]bool // out
 
-	policies map[carawaycart.ServiceID]carawaycart.ServicePolicy
+	policies   map[carawaycart.ServiceID]carawaycart.ServicePolicy
+	admissions map[carawaycart.ServiceID]*Admission // shared by all tables of a router
 }
 
 // route is where the new flows of an address go.
 type route struct {
 	targets    []target
 	repeatable bool // its requests may run more than once
+	answerTime time.Duration
 }
 
 type target struct {
 	endpoints []*endpoint
 	weight    int
+	admission *Admission
+	class     int // of the route's requests among those of the service; zero is the least urgent
+	top       int // the most urgent class of the service
 }
 
 // Limits bound what cold endpoints are given.
@@ -58,6 +64,11 @@
 		byKey:    make(map[carawaycart.LifetimeKey]*endpoint),
 		zones:    make(map[carawaycart.ZoneID]bool),
 	}
+	if previous != nil {
+		t.admissions = previous.admissions
+	} else {
+		t.admissions = make(map[carawaycart.ServiceID]*Admission)
+	}
 	for _, z := range in.Contents.ZonesOut {
 		t.zones[z] = true
 	}
@@ -131,12 +142,31 @@
 			services[l.Service] = append(services[l.Service], e)
 		}
 	}
+	priorities := make(map[carawaycart.ServiceID][]int)
 	for i := range c.Routes {
-		r := &route{repeatable: c.Routes[i].Kind == carawaycart.RequestSafe}
 		for _, to := range c.Routes[i].Targets {
-			r.targets = append(r.targets, target{endpoints: services[to.Service], weight: to.Weight})
+			priorities[to.Service] = append(priorities[to.Service], c.Routes[i].Priority)
+		}
+	}
+	for service, p := range priorities {
+		slices.Sort(p)
+		priorities[service] = slices.Compact(p)
+		if t.admissions[service] == nil {
+			t.admissions[service] = &Admission{}
+		}
+	}
+	for i := range c.Routes {
+		from := &c.Routes[i]
+		r := &route{repeatable: from.Kind == carawaycart.RequestSafe, answerTime: from.Target}
+		for _, to := range from.Targets {
+			p := priorities[to.Service]
+			rank, _ := slices.BinarySearch(p, from.Priority)
+			r.targets = append(r.targets, target{
+				endpoints: services[to.Service], weight: to.Weight,
+				admission: t.admissions[to.Service], class: len(p) - 1 - rank, top: len(p) - 1,
+			})
 		}
-		t.routes[c.Routes[i].Address] = r
+		t.routes[from.Address] = r
 	}
 }
 
--- a/endpointlife.go
+++ b/endpointlife.go
@@ -59,7 +59,8 @@
 	Address  netip.AddrPort
 	Targets  []RouteTarget
 	Kind     RequestKind
-	Priority int // 0 is the highest
+	Priority int           // 0 is the highest
+	Target   time.Duration // within which a request should be answered
 }
 
 // ServicePolicy is what the routing configuration says of a service.
--- a/flow.go
+++ b/flow.go
@@ -119,6 +119,7 @@
 	CauseUnknownToken         // no known endpoint has the packet's token
 	CauseCold                 // every endpoint that may take the flow is cold and at its limit
 	CauseSilent               // the endpoint that owns the flow answers nothing
+	CauseOverload             // the endpoints have more than they can answer in time
 	causeCount
 )
 
@@ -127,7 +128,7 @@
 
 var causeNames = [CauseCount]string{
 	"none", "unknownService", "noEndpoint", "noKeeper", "notKeeper", "noCapacity", "spreading", "notReady",
-	"noRoute", "ended", "unknownToken", "cold", "silent",
+	"noRoute", "ended", "unknownToken", "cold", "silent", "overload",
 }
 
 // String returns the name of c as used in metrics.
