Test the token path; fix news that hid items written and removed between two reads

Cause: a property test of the directory's merges failed: a copy that had seen an item, which was then removed, took in a difference from a peer that never saw it, and kept the item while it believed itself whole.

Change: a difference also ends items that were written within it and are not among its items. Peers of a zone are told of silent endpoints and probe them themselves. An endpoint whose address is another's has ended. Entries of services that the configuration does not name are left out.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -81,11 +81,20 @@
 
 // Apply takes in a difference and reports whether the directory is whole at its
 // end; it is not if changes before the difference are unknown here.
+//
+// The directory may have seen items that were written and removed within the
+// difference, which therefore does not tell of them: what was written since its
+// beginning and is not among its items is gone at its end.
 func (d *Directory) Apply(change Difference) bool {
-	if change.From > d.at {
+	switch {
+	case change.To <= d.at:
+		return true
+	case change.From > d.at:
 		return false
 	}
+	told := make(map[string]struct{}, len(change.Items))
 	for _, i := range change.Items {
+		told[i.Key] = struct{}{}
 		d.put(i)
 	}
 	for _, key := range change.Missing {
@@ -93,7 +102,14 @@
 			delete(d.items, key)
 		}
 	}
-	d.at = max(d.at, change.To)
+	if d.at > change.From {
+		for key, e := range d.items {
+			if _, ok := told[key]; !ok && e.item.Revision > change.From && e.item.Revision <= change.To {
+				delete(d.items, key)
+			}
+		}
+	}
+	d.at = change.To
 	return true
 }
 
@@ -159,7 +175,8 @@
 	Instances []carawaycart.Registration
 }
 
-// Contents returns the meanings of all items.
+// Contents returns the meanings of all items. An endpoint of a service that the
+// configuration does not name is left out: its entry is not the platform's.
 func (d *Directory) Contents() Contents {
 	keys := make([]string, 0, len(d.items))
 	for key := range d.items {
@@ -181,5 +198,15 @@
 			c.Instances = append(c.Instances, *r.Instance)
 		}
 	}
+	c.dropForeign()
 	return c
 }
+
+func (c *Contents) dropForeign() {
+	if c.Config == nil {
+		return
+	}
+	c.Lifetimes = slices.DeleteFunc(c.Lifetimes, func(l *carawaycart.Lifetime) bool {
+		return !slices.ContainsFunc(c.Config.Services, func(s carawaycart.ServicePolicy) bool { return s.ID == l.Service })
+	})
+}
--- a/core/directory/roster.go
+++ b/core/directory/roster.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"net/netip"
 	"time"
 
 	"carawaycart"
@@ -49,13 +50,17 @@
 // Update takes in the contents that were known at now.
 func (r *Roster) Update(c *Contents, now time.Time) {
 	current := make(map[carawaycart.EndpointID]carawaycart.UnixMillis, len(c.Lifetimes))
+	youngest := make(map[netip.AddrPort]carawaycart.UnixMillis, len(c.Lifetimes))
 	for _, l := range c.Lifetimes {
 		current[l.ID] = l.Born
+		youngest[l.Address] = max(youngest[l.Address], l.Born)
 		r.note(l, c.Revisions[l.Key()], now)
 	}
 	for key, s := range r.seen {
 		born, listed := current[key.ID]
 		switch {
+		case s.Lifetime.Born < youngest[s.Lifetime.Address]:
+			r.end(s, now) // its address is another's, and is given out only after an end
 		case listed && born == key.Born:
 		case listed:
 			r.end(s, now) // the endpoint has started again
--- /dev/null
+++ b/core/flow/conformance_test.go
@@ -0,0 +1,68 @@
+package flow_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/flow"
+	"carawaycart/internal/routertest"
+)
+
+// recordFleet is a fixture as routertest.Fleet.
+type recordFleet struct {
+	*fixture
+	t *testing.T
+}
+
+func (r recordFleet) Instances() int { return len(r.members) }
+
+func (r recordFleet) First(instance, n int, now time.Time) carawaycart.Decision {
+	return r.send(r.any(instance), packet(n, carawaycart.PacketFirst), now)
+}
+
+func (r recordFleet) Later(instance, n int, _ carawaycart.Decision, now time.Time) carawaycart.Decision {
+	return r.send(r.any(instance), packet(n, carawaycart.PacketMiddle), now)
+}
+
+func (r recordFleet) Unknown(instance int, now time.Time) carawaycart.Decision {
+	p := packet(0, carawaycart.PacketFirst)
+	p.Key.Service = netip.MustParseAddrPort("192.0.2.99:1")
+	return r.send(r.any(instance), p, now)
+}
+
+func (r recordFleet) Drain(e carawaycart.EndpointID, now time.Time) {
+	r.leave(r.t, e)
+	for id := range r.boards {
+		r.arrive(id, now)
+	}
+	// Tables act in steps; a running instance ticks all the while.
+	for at := now; at.Before(now.Add(4 * time.Second)); at = at.Add(250 * time.Millisecond) {
+		for _, b := range r.boards {
+			b.Tick(at)
+		}
+	}
+}
+
+// Restart lets an instance come back with the records that its peers hold.
+func (r recordFleet) Restart(instance int, now time.Time) {
+	id := r.any(instance)
+	fresh := flow.NewRecords()
+	for other, records := range r.records {
+		if other == id {
+			continue
+		}
+		for _, record := range records.Append(nil, func(*carawaycart.FlowRecord) bool { return true }) {
+			fresh.Put(record, now)
+		}
+	}
+	r.records[id] = fresh
+	r.routers[id] = flow.NewRouter(r.boards[id], fresh)
+}
+
+func TestConformance(t *testing.T) {
+	routertest.Run(t, func(t *testing.T, instances, endpoints int) routertest.Fleet {
+		return recordFleet{newFixture(t, instances, endpoints), t}
+	})
+}
--- /dev/null
+++ b/core/steer/fixture_test.go
@@ -0,0 +1,170 @@
+package steer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/directory"
+	"carawaycart/core/steer"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	feed  = netip.MustParseAddrPort("198.18.0.1:8443") // safe, less urgent
+	order = netip.MustParseAddrPort("198.18.0.1:8080") // unsafe, more urgent
+)
+
+// events counts what a router reports.
+type events struct {
+	refused  map[carawaycart.Cause]int
+	hedged   int
+	avoided  int
+	doubted  []carawaycart.EndpointID
+	silenced map[carawaycart.EndpointID]bool
+}
+
+func newEvents() *events {
+	return &events{refused: make(map[carawaycart.Cause]int), silenced: make(map[carawaycart.EndpointID]bool)}
+}
+
+func (e *events) Placed(_ *carawaycart.FlowKey, _ carawaycart.EndpointID, _ *steer.Candidate, how steer.Placing) {
+	if how.Hedge > 0 {
+		e.hedged++
+	}
+}
+
+func (e *events) Refused(_ *carawaycart.Packet, c carawaycart.Cause, _ bool, _ carawaycart.StoreRevision) {
+	e.refused[c]++
+}
+func (e *events) Avoided(carawaycart.EndpointID, string, time.Duration) { e.avoided++ }
+func (e *events) Doubted(l *carawaycart.Lifetime)                       { e.doubted = append(e.doubted, l.ID) }
+func (e *events) Silenced(id carawaycart.EndpointID, silent bool)       { e.silenced[id] = silent }
+func (e *events) Recovered(carawaycart.EndpointID)                      {}
+
+// fleet is a set of routers that share one view of the store.
+type fleet struct {
+	contents directory.Contents
+	roster   *directory.Roster
+	revision carawaycart.StoreRevision
+	zones    []carawaycart.ZoneID
+	routers  []*steer.Router
+	events   []*events
+}
+
+// newFleet returns routers in two zones before a service with the given number
+// of warm endpoints, spread over the zones.
+func newFleet(instances, endpoints int) *fleet {
+	f := &fleet{roster: directory.NewRoster(), zones: []carawaycart.ZoneID{"a", "b"}}
+	f.contents.Config = &carawaycart.RouteConfig{
+		Version: 1,
+		Routes: []carawaycart.Route{
+			{
+				Address: feed, Kind: carawaycart.RequestSafe, Priority: 2, Target: 100 * time.Millisecond,
+				Targets: []carawaycart.RouteTarget{{Service: "desk", Weight: 1}},
+			},
+			{
+				Address: order, Kind: carawaycart.RequestUnsafe, Priority: 1, Target: 120 * time.Millisecond,
+				Targets: []carawaycart.RouteTarget{{Service: "desk", Weight: 1}},
+			},
+		},
+		Services: []carawaycart.ServicePolicy{{ID: "desk", HealthPath: "/health", ColdPerSecond: 4}},
+	}
+	for i := range endpoints {
+		f.contents.Lifetimes = append(f.contents.Lifetimes, &carawaycart.Lifetime{
+			ID: carawaycart.EndpointID(fmt.Sprintf("i-%02x", i+1)), Born: 5, Number: carawaycart.HostNumber(i + 1), Service: "desk",
+			Zone: f.zones[i%2], Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80), Slots: 2,
+		})
+	}
+	for i := range instances {
+		f.contents.Instances = append(f.contents.Instances, carawaycart.Registration{
+			ID: carawaycart.InstanceID(fmt.Sprintf("n%02d", i)), Zone: f.zones[i%2],
+		})
+		f.routers = append(f.routers, nil)
+		f.events = append(f.events, nil)
+		f.restart(i)
+	}
+	f.learn(start)
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	f.events[i] = newEvents()
+	f.routers[i] = steer.NewRouter(f.zones[i%2], rand.NewPCG(1, uint64(i)), f.events[i])
+}
+
+// learn lets all routers know the contents at now.
+func (f *fleet) learn(now time.Time) {
+	f.revision++
+	f.roster.Update(&f.contents, now)
+	for i := range f.routers {
+		f.table(i, f.contents.Instances, now)
+	}
+}
+
+// table lets router i decide by the contents, with the members that it knows.
+func (f *fleet) table(i int, members []carawaycart.Registration, now time.Time) {
+	c := f.contents
+	c.Instances = members
+	f.routers[i].SetTable(steer.NewTable(&steer.Input{
+		Contents: c, Revision: f.revision, Roster: f.roster, Self: f.contents.Instances[i].ID,
+		Limits: steer.Limits{ColdOverrun: 1.5, ColdSlack: 5},
+	}, f.routers[i].Table(), now))
+}
+
+func (f *fleet) endpoint(id carawaycart.EndpointID) *carawaycart.Lifetime {
+	for _, l := range f.contents.Lifetimes {
+		if l.ID == id {
+			return l
+		}
+	}
+	return nil
+}
+
+// remove takes the entry of an endpoint away.
+func (f *fleet) remove(id carawaycart.EndpointID) {
+	for i, l := range f.contents.Lifetimes {
+		if l.ID == id {
+			f.contents.Lifetimes = append(f.contents.Lifetimes[:i:i], f.contents.Lifetimes[i+1:]...)
+			return
+		}
+	}
+}
+
+func key(flow int, service netip.AddrPort) carawaycart.FlowKey {
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(flow >> 8), byte(flow)}), uint16(1024+flow%60000))
+	return carawaycart.FlowKey{Caller: caller, Service: service, Protocol: carawaycart.TCP}
+}
+
+func first(flow int, service netip.AddrPort) *carawaycart.Packet {
+	return &carawaycart.Packet{Key: key(flow, service), Kind: carawaycart.PacketFirst, Sequence: 1000}
+}
+
+// acknowledgement answers the endpoint's answer to a first packet.
+func acknowledgement(flow int, service netip.AddrPort, t carawaycart.Token) *carawaycart.Packet {
+	return &carawaycart.Packet{Key: key(flow, service), Sequence: 1001, Acknowledged: 500, Token: t}
+}
+
+func request(flow int, service netip.AddrPort, t carawaycart.Token) *carawaycart.Packet {
+	p := acknowledgement(flow, service, t)
+	p.DataBytes = 200
+	return p
+}
+
+// answered acknowledges the answer to a request.
+func answered(flow int, service netip.AddrPort, t carawaycart.Token) *carawaycart.Packet {
+	p := acknowledgement(flow, service, t)
+	p.Sequence, p.Acknowledged = 1201, 1500
+	return p
+}
+
+func mustForward(tb testing.TB, d carawaycart.Decision) carawaycart.Decision {
+	tb.Helper()
+	if d.Verdict != carawaycart.VerdictForward {
+		tb.Fatalf("got verdict %d for %s, want the packet forwarded", d.Verdict, d.Cause)
+	}
+	return d
+}
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -1,19 +1,20 @@
 package steer
 
 import (
+	"encoding/binary"
+	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"carawaycart"
 )
 
 const (
-	flowShards   = 16
-	maxShardSize = 8192 // flows; more are forwarded all the same, without being watched
-	flowIdle     = 15 * time.Second
-	sweepPeriod  = 5 * time.Second
+	flowShardBits = 4
+	flowShards    = 1 << flowShardBits
+	maxShardSize  = 8192 // flows; more are forwarded all the same, without being watched
+	flowIdle      = 15 * time.Second
+	sweepPeriod   = 5 * time.Second
 )
 
 // flow is what an instance has seen of one flow. It serves placement only.
@@ -48,29 +49,42 @@
 
 type flowShard struct {
 	mu    sync.Mutex
-	flows map[carawaycart.FlowKey]*flow
+	flows map[flowID]*flow
 	sweep time.Time // when idle flows are looked for next
 }
 
 func newFlowTable() *flowTable {
 	t := &flowTable{}
 	for i := range t.shards {
-		t.shards[i].flows = make(map[carawaycart.FlowKey]*flow)
+		t.shards[i].flows = make(map[flowID]*flow)
 	}
 	return t
 }
 
-// shard returns the shard of key, locked.
-func (t *flowTable) shard(key *carawaycart.FlowKey) *flowShard {
-	a := key.Caller.Addr().As4()
-	h := xxhash.Sum64(a[:]) + uint64(key.Caller.Port())
-	s := &t.shards[h%flowShards]
+// flowID is a FlowKey in a form that is quick to hash; tokens are carried by
+// IPv4 formats only.
+type flowID struct{ caller, service packedAddress }
+
+// packedAddress is an IPv4 address and port.
+type packedAddress uint64
+
+func pack(a netip.AddrPort) packedAddress {
+	ip := a.Addr().As4()
+	return packedAddress(binary.BigEndian.Uint32(ip[:]))<<16 | packedAddress(a.Port())
+}
+
+func newFlowID(k *carawaycart.FlowKey) flowID { return flowID{pack(k.Caller), pack(k.Service)} }
+
+// shard returns the shard of id, locked.
+func (t *flowTable) shard(id flowID) *flowShard {
+	const mix = 0x9e3779b97f4a7c15 // 2^64 by the golden ratio, as in Knuth, "The Art of Computer Programming", 6.4
+	s := &t.shards[uint64(id.caller)*mix>>(64-flowShardBits)]
 	s.mu.Lock()
 	return s
 }
 
 // put adds f at now, unless the shard is full of flows that are not idle.
-func (s *flowShard) put(key carawaycart.FlowKey, f *flow, now time.Time) bool {
+func (s *flowShard) put(key flowID, f *flow, now time.Time) bool {
 	if !now.Before(s.sweep) || len(s.flows) >= maxShardSize {
 		s.sweep = now.Add(sweepPeriod)
 		for k, old := range s.flows {
@@ -87,7 +101,7 @@
 }
 
 // remove forgets f and what it counted for.
-func (s *flowShard) remove(key carawaycart.FlowKey, f *flow) {
+func (s *flowShard) remove(key flowID, f *flow) {
 	delete(s.flows, key)
 	f.endpoint.record.adjust(-one(f.phase == phaseOpening), -one(f.waiting), -one(f.phase == phaseOpen))
 }
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -63,12 +63,13 @@
 	if !t.Complete() {
 		return r.refuse(p, carawaycart.CauseNotReady, false, 0)
 	}
-	route := t.routes[p.Key.Service]
+	id := newFlowID(&p.Key)
+	route := t.routes[id.service]
 	if route == nil {
 		return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
 	}
 	if p.Kind == carawaycart.PacketFirst {
-		return r.first(t, route, p, now)
+		return r.first(t, route, id, p, now)
 	}
 	e := t.owners[p.Token]
 	switch {
@@ -79,7 +80,7 @@
 	case p.DataBytes > 0 && route.repeatable && e.record.isSilent():
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
 	}
-	r.watch(p, route, e, now)
+	r.watch(id, p, route, e, now)
 	return forward(e)
 }
 
@@ -101,11 +102,11 @@
 }
 
 // first decides the first packet of a flow.
-func (r *Router) first(t *Table, route *route, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
-	s := r.flows.shard(&p.Key)
+func (r *Router) first(t *Table, route *route, id flowID, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
+	s := r.flows.shard(id)
 	defer s.mu.Unlock()
 	var tried []*endpoint
-	if f := s.flows[p.Key]; f != nil {
+	if f := s.flows[id]; f != nil {
 		if f.phase == phaseOpen || now.Sub(f.opened) < resendPeriod {
 			f.last = now
 			return forward(f.endpoint) // a duplicate
@@ -114,7 +115,7 @@
 			r.missed(f.endpoint, "first", f.sent, now)
 		}
 		tried = append(f.tried, f.endpoint)
-		s.remove(p.Key, f)
+		s.remove(id, f)
 	}
 	to := r.target(route)
 	if to == nil {
@@ -132,7 +133,7 @@
 		endpoint: e, opened: now, sent: now, last: now, sequence: p.Sequence,
 		admitted: to.admission, target: route.answerTime,
 	}
-	if !s.put(p.Key, f, now) {
+	if !s.put(id, f, now) {
 		e.record.adjust(-1, 0, 0)
 	}
 	return forward(e)
@@ -160,16 +161,17 @@
 // that the caller acknowledges; it ignores the others.
 func (r *Router) Hedge(key *carawaycart.FlowKey, now time.Time) (carawaycart.Decision, bool) {
 	t := r.table.Load()
-	s := r.flows.shard(key)
+	id := newFlowID(key)
+	s := r.flows.shard(id)
 	defer s.mu.Unlock()
-	f := s.flows[*key]
+	f := s.flows[id]
 	if f == nil || f.phase != phaseOpening {
 		return carawaycart.Decision{}, false
 	}
 	r.missed(f.endpoint, "first", f.sent, now)
 	f.tried = append(f.tried, f.endpoint)
 	var e *endpoint
-	if route := t.routes[key.Service]; route != nil && len(f.tried) < maxTried {
+	if route := t.routes[id.service]; route != nil && len(f.tried) < maxTried {
 		if to := r.target(route); to != nil {
 			e, _ = r.place(t, to, key, 0, f.tried, now)
 		}
@@ -269,25 +271,39 @@
 	}
 }
 
-// Probed takes in the outcome of a probe that began at began, and reports
-// whether the endpoint should be probed again.
-func (r *Router) Probed(key carawaycart.LifetimeKey, alive bool, began, now time.Time) bool {
+// Probed takes in the outcome of a probe that began at began. It reports whether
+// the endpoint is silent and should be probed again, and whether it was not
+// silent before.
+func (r *Router) Probed(key carawaycart.LifetimeKey, alive bool, began, now time.Time) (silent, news bool) {
 	t := r.table.Load()
 	if t == nil || t.byKey[key] == nil || t.byKey[key].presence == directory.Ended {
-		return false
+		return false, false
 	}
 	e := t.byKey[key]
-	if e.record.probed(alive, began, now) {
+	changed := e.record.probed(alive, began, now)
+	if changed {
 		r.observer.Silenced(e.lifetime.ID, !alive)
 	}
-	return e.record.isSilent()
+	silent = e.record.isSilent()
+	return silent, silent && changed
+}
+
+// Doubt has the endpoint with token t probed, which answers a peer nothing.
+func (r *Router) Doubt(token carawaycart.Token) {
+	t := r.table.Load()
+	if t == nil {
+		return
+	}
+	if e := t.owners[token]; e != nil && e.presence != directory.Ended && !e.record.isSilent() {
+		r.observer.Doubted(&e.lifetime)
+	}
 }
 
 // watch takes in what a later packet of a flow at e tells about e.
-func (r *Router) watch(p *carawaycart.Packet, via *route, e *endpoint, now time.Time) {
-	s := r.flows.shard(&p.Key)
+func (r *Router) watch(id flowID, p *carawaycart.Packet, via *route, e *endpoint, now time.Time) {
+	s := r.flows.shard(id)
 	defer s.mu.Unlock()
-	f := s.flows[p.Key]
+	f := s.flows[id]
 	if f != nil && f.phase != phaseOpen && isTried(f.tried, e) {
 		// The answer of an endpoint that was tried before came first after all.
 		f.endpoint.record.adjust(-one(f.phase == phaseOpening), 0, 0)
@@ -298,13 +314,13 @@
 			return
 		}
 		if f != nil {
-			s.remove(p.Key, f)
+			s.remove(id, f)
 		}
 		f = &flow{endpoint: e, opened: now, phase: phaseOpen, acked: p.Acknowledged, sequence: p.Sequence - 1}
 		if len(via.targets) == 1 {
 			f.admitted, f.target = via.targets[0].admission, via.answerTime
 		}
-		if !s.put(p.Key, f, now) {
+		if !s.put(id, f, now) {
 			return
 		}
 		e.record.adjust(0, 0, 1)
@@ -312,7 +328,7 @@
 	r.advance(f, p, now)
 	f.last = now
 	if p.Kind == carawaycart.PacketLast {
-		s.remove(p.Key, f)
+		s.remove(id, f)
 	}
 }
 
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -15,7 +14,7 @@
 	Version  uint64 // of the routing configuration
 	Revision carawaycart.StoreRevision
 
-	routes map[netip.AddrPort]*route
+	routes map[packedAddress]*route
 	owners map[carawaycart.Token]*endpoint
 	byKey  map[carawaycart.LifetimeKey]*endpoint
 	zones  map[carawaycart.ZoneID]bool // out
@@ -59,7 +58,7 @@
 func NewTable(in *Input, previous *Table, now time.Time) *Table {
 	t := &Table{
 		Revision: in.Revision,
-		routes:   make(map[netip.AddrPort]*route),
+		routes:   make(map[packedAddress]*route),
 		owners:   make(map[carawaycart.Token]*endpoint),
 		byKey:    make(map[carawaycart.LifetimeKey]*endpoint),
 		zones:    make(map[carawaycart.ZoneID]bool),
@@ -166,7 +165,7 @@
 				admission: t.admissions[to.Service], class: len(p) - 1 - rank, top: len(p) - 1,
 			})
 		}
-		t.routes[from.Address] = r
+		t.routes[pack(from.Address)] = r
 	}
 }
 
@@ -177,3 +176,11 @@
 func (t *Table) HealthPath(service carawaycart.ServiceID) string {
 	return t.policies[service].HealthPath
 }
+
+// Token returns the token of the lifetime, or zero if it is unknown.
+func (t *Table) Token(key carawaycart.LifetimeKey) carawaycart.Token {
+	if e := t.byKey[key]; e != nil {
+		return e.token
+	}
+	return 0
+}
--- /dev/null
+++ b/core/steer/token_test.go
@@ -0,0 +1,89 @@
+package steer
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+
+	"carawaycart"
+)
+
+func lifetimeKeys(n int) []carawaycart.LifetimeKey {
+	keys := make([]carawaycart.LifetimeKey, n)
+	for i := range keys {
+		keys[i] = carawaycart.LifetimeKey{ID: carawaycart.EndpointID(fmt.Sprintf("i-%08x", i)), Born: carawaycart.UnixMillis(1000 + i)}
+	}
+	return keys
+}
+
+// deriveNarrow derives tokens from so small a range that many collide.
+func deriveNarrow(key carawaycart.LifetimeKey, n int) carawaycart.Token { return derive(key, n)%97 + 1 }
+
+func TestTokensAgreeWhateverTheOrder(t *testing.T) {
+	keys := lifetimeKeys(30)
+	want, wantOwners := assignTokens(keys, deriveNarrow)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		random.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+		got, owners := assignTokens(keys, deriveNarrow)
+		if !maps.Equal(got, want) || !maps.Equal(owners, wantOwners) {
+			t.Fatal("got other tokens for the same lifetimes in another order")
+		}
+	}
+}
+
+func TestTokensHaveOneOwner(t *testing.T) {
+	tokens, owners := assignTokens(lifetimeKeys(30), deriveNarrow)
+	collided := 0
+	for key, token := range tokens {
+		if owners[token] != key {
+			t.Errorf("token %d of %v: got owner %v", token, key, owners[token])
+		}
+		if token != deriveNarrow(key, 0) {
+			collided++
+		}
+	}
+	if len(tokens) != 30 || collided == 0 {
+		t.Errorf("got %d tokens, %d of them by a later derivation, want 30 and some", len(tokens), collided)
+	}
+}
+
+// A younger lifetime must not take the token of an older one, whose flows go on.
+func TestOlderLifetimeKeepsItsToken(t *testing.T) {
+	keys := lifetimeKeys(40)
+	before, _ := assignTokens(keys[:20], deriveNarrow)
+	after, _ := assignTokens(keys, deriveNarrow)
+	for key, token := range before {
+		if after[key] != token {
+			t.Errorf("%v: got token %d after younger ones came, want %d", key, after[key], token)
+		}
+	}
+}
+
+func TestTokenTellsLifetimesApart(t *testing.T) {
+	a := derive(carawaycart.LifetimeKey{ID: "i-1", Born: 1}, 0)
+	b := derive(carawaycart.LifetimeKey{ID: "i-1", Born: 2}, 0)
+	if a == b || a == 0 || b == 0 {
+		t.Errorf("got tokens %d and %d for two lifetimes of one id, want two that are not zero", a, b)
+	}
+}
+
+func TestTokensAtTheTargetsSize(t *testing.T) {
+	tokens, owners := assignTokens(lifetimeKeys(21000), derive)
+	if len(tokens) != 21000 || len(owners) != 21000 {
+		t.Errorf("got %d tokens and %d owners, want 21000", len(tokens), len(owners))
+	}
+}
+
+func BenchmarkAssignTokens(b *testing.B) {
+	for _, n := range []int{18, 150, 21000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			keys := lifetimeKeys(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				assignTokens(keys, derive)
+			}
+		})
+	}
+}
--- a/internal/edge/courier.go
+++ b/internal/edge/courier.go
@@ -36,17 +36,19 @@
 	client *peer.Client
 	clock  carawaycart.Clock
 	log    *eventlog.Log
+	doubt  func(carawaycart.Token)
 	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	fetching bool
 }
 
-// NewCourier returns a courier that takes in news from conn until Close.
+// NewCourier returns a courier that takes in news from conn until Close, and
+// calls doubt for endpoints that answer a peer nothing.
 func NewCourier(self carawaycart.InstanceID, zone carawaycart.ZoneID, v *View, conn *net.UDPConn, p *peer.Client,
-	k carawaycart.Clock, log *eventlog.Log,
+	doubt func(carawaycart.Token), k carawaycart.Clock, log *eventlog.Log,
 ) *Courier {
-	c := &Courier{self: self, zone: zone, view: v, conn: conn, client: p, clock: k, log: log}
+	c := &Courier{self: self, zone: zone, view: v, conn: conn, client: p, doubt: doubt, clock: k, log: log}
 	c.done.Go(func() {
 		buf := make([]byte, 64<<10)
 		for {
@@ -111,6 +113,12 @@
 	}
 }
 
+// TellSilent tells the zone that the endpoint with token t answers nothing, so
+// that the others probe it too.
+func (c *Courier) TellSilent(t carawaycart.Token) {
+	c.send(&message.DirectoryNews{From: string(c.self), SilentTokens: []uint32{uint32(t)}}, c.neighbours(c.view.State().Instances))
+}
+
 // neighbours returns the other instances of the zone.
 func (c *Courier) neighbours(all []carawaycart.Registration) []carawaycart.Registration {
 	var same []carawaycart.Registration
@@ -158,6 +166,12 @@
 		c.log.Event("newsRefused").Text("peer", from.String()).Err(err).End()
 		return
 	}
+	if len(news.GetSilentTokens()) > 0 {
+		for _, t := range news.GetSilentTokens() {
+			c.doubt(carawaycart.Token(t))
+		}
+		return
+	}
 	now := c.clock.Now()
 	began := now.Add(-time.Duration(news.GetAgeMs()) * time.Millisecond)
 	if news.GetTroubleMs() > 0 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,7 +63,8 @@
 	e.view = NewView(s.ID, steer.Limits{ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack}, e.router, clock, log)
 	e.store = platform.NewStore(s.Store, e.counters.StoreCall)
 	e.client = peer.NewClient(e.counters)
-	e.courier = NewCourier(s.ID, s.Zone, e.view, o.News, e.client, clock, log)
+	e.courier = NewCourier(s.ID, s.Zone, e.view, o.News, e.client, e.router.Doubt, clock, log)
+	e.prober.tell = e.courier.TellSilent
 	own := carawaycart.Registration{ID: s.ID, Zone: s.Zone, PeerAddress: o.News.LocalAddr().(*net.UDPAddr).AddrPort()}
 	e.registrar = NewRegistrar(own, e.store, e.view, clock, log)
 	var err error
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -20,6 +20,7 @@
 // Prober asks endpoints that left packets unanswered whether they are there.
 type Prober struct {
 	router   *steer.Router
+	tell     func(carawaycart.Token) // peers of a silent endpoint
 	clock    carawaycart.Clock
 	counters *Counters
 	log      *eventlog.Log
@@ -59,6 +60,7 @@
 	p.asking[key] = true
 	address := l.Address.String()
 	service := l.Service
+	token := p.router.Table().Token(key)
 	p.done.Go(func() {
 		defer func() {
 			p.mu.Lock()
@@ -68,9 +70,13 @@
 		for period := probePeriod; ; period = min(2*period, maxProbe) {
 			began := p.clock.Now()
 			alive := p.ask("http://" + address + p.router.Table().HealthPath(service))
-			if !p.router.Probed(key, alive, began, p.clock.Now()) {
+			silent, news := p.router.Probed(key, alive, began, p.clock.Now())
+			if !silent {
 				return
 			}
+			if news {
+				p.tell(token)
+			}
 			select {
 			case <-p.ctx.Done():
 				return
--- /dev/null
+++ b/internal/routertest/doc.go
@@ -0,0 +1,2 @@
+// Package routertest is the conformance suite of carawaycart.Router.
+package routertest
