--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,234 @@
+package edge_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"carawaycart/internal/edge"
+	"carawaycart/internal/eventlog"
+	"carawaycart/internal/settings"
+	"carawaycart/platform/standin"
+)
+
+// instance is a running instance on a machine of a site.
+type instance struct {
+	machine standin.Machine
+	edge    *edge.Edge
+	log     *eventlog.Log
+}
+
+// fleet is a site with instances.
+type fleet struct {
+	*standin.Site
+	instances []*instance
+}
+
+func newFleet(t *testing.T, zones, hosts, perZone int) *fleet {
+	t.Helper()
+	s, err := standin.NewSite(zones, hosts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{Site: s}
+	t.Cleanup(func() {
+		s.EndLoad()
+		for _, i := range f.instances {
+			if i.edge != nil {
+				i.edge.Close()
+				i.log.Close()
+			}
+		}
+		s.Close()
+	})
+	for _, zone := range s.Zones {
+		for n := range perZone {
+			m, err := s.AddMachine(zone, n)
+			if err != nil {
+				t.Fatal(err)
+			}
+			i := &instance{machine: m}
+			f.instances = append(f.instances, i)
+			f.start(t, i)
+		}
+	}
+	f.await(t, "all instances are in rotation", func() bool { return s.Routers.Ready() == zones*perZone })
+	return f
+}
+
+func (f *fleet) start(t *testing.T, i *instance) {
+	t.Helper()
+	s, err := settings.Parse(i.machine.Name, []byte(f.Settings(i.machine)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sockets, err := edge.Open(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i.log = eventlog.New(s.ID, io.Discard)
+	if i.edge, err = edge.New(s, sockets, i.log); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) kill(i *instance) {
+	i.edge.Close()
+	i.log.Close()
+	i.edge = nil
+}
+
+// await waits until condition holds; the wait is bounded only to end a test that
+// has failed.
+func (f *fleet) await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !condition(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got no end of waiting until %s; %s", what, f.Ledger.Summary())
+		}
+	}
+}
+
+// served waits until so many more requests have ended.
+func (f *fleet) served(t *testing.T, n int) {
+	t.Helper()
+	before := f.Ledger.Total()
+	f.await(t, "requests are served", func() bool { return f.Ledger.Total() >= before+n })
+}
+
+func (f *fleet) check(t *testing.T) {
+	t.Helper()
+	f.EndLoad()
+	for _, b := range f.Ledger.Broken() {
+		t.Error(b)
+	}
+	t.Log(f.Ledger.Summary(), "store calls", f.Store.Calls())
+}
+
+func TestQuietFleetServes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3, 2)
+	f.BeginLoad(4, 20)
+	f.served(t, 300)
+	f.check(t)
+	if l := f.Ledger; l.Unknown > 0 || l.Refused > 0 {
+		t.Errorf("got %s, want every request answered", l.Summary())
+	}
+}
+
+func TestOneReadServesTheFleet(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 4)
+	f.BeginLoad(1, 5)
+	f.served(t, 20)
+	before, began := f.Store.Calls(), time.Now()
+	f.served(t, 60)
+	perSecond := float64(f.Store.Calls()-before) / time.Since(began).Seconds()
+	if perSecond > 8 { // one read for each instance and second
+		t.Errorf("got %.1f store calls a second from 8 instances, want far fewer than one each", perSecond)
+	}
+	f.check(t)
+}
+
+func TestChangesOfHostsZonesAndConfiguration(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3, 2)
+	f.BeginLoad(4, 20)
+	f.served(t, 100)
+	f.Drain(f.Hosts[0])
+	f.Evacuate("b", false)
+	f.served(t, 300)
+	f.Evacuate("b", true)
+	if _, err := f.AddHost("a", 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Configure(true); err != nil {
+		t.Fatal(err)
+	}
+	f.served(t, 300)
+	f.check(t)
+}
+
+func TestHostsGoDark(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3, 2)
+	f.BeginLoad(4, 20)
+	f.served(t, 100)
+	f.Hosts[1].Set(standin.Dark)
+	f.Hosts[4].Set(standin.Cut)
+	f.served(t, 200)
+	f.Hosts[4].Set(standin.Well)
+	f.served(t, 200)
+	f.check(t)
+	if f.Ledger.Answered < 400 {
+		t.Errorf("got %s, want most requests answered", f.Ledger.Summary())
+	}
+}
+
+// Each fault of the store, for all, then for all but one instance, from which
+// the others learn.
+func TestStoreFaults(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{
+		"busy": standin.FaultBusy, "many": standin.FaultMany, "silent": standin.FaultSilent,
+		"reset": standin.FaultReset, "slow": standin.FaultSlow, "lost": standin.FaultLost,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2, 2, 2)
+			one := f.instances[0].machine.Store
+			f.BeginLoad(3, 10)
+			f.Store.SetFault("", fault)
+			f.served(t, 60)
+			f.Store.SetFault(one, standin.FaultNone)
+			f.served(t, 60)
+			f.Drain(f.Hosts[0])
+			f.served(t, 150)
+			f.Store.SetFault("", standin.FaultNone)
+			f.served(t, 60)
+			f.check(t)
+			if f.Ledger.Unknown > 0 {
+				t.Errorf("got %s, want every request answered", f.Ledger.Summary())
+			}
+		})
+	}
+}
+
+func TestInstancesAreKilledAndReturn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 3, 3)
+	f.BeginLoad(4, 20)
+	f.served(t, 100)
+	f.kill(f.instances[0])
+	f.served(t, 150)
+	f.start(t, f.instances[0])
+	f.instances[3].edge.Stop() // as planned
+	f.instances[3].edge = nil
+	f.served(t, 150)
+	f.check(t)
+}
+
+// A starting instance learns from its peers while the store is away.
+func TestStartWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2, 2)
+	f.BeginLoad(2, 10)
+	f.served(t, 30)
+	f.Store.SetFault("", standin.FaultSilent)
+	i := f.instances[0]
+	f.kill(i)
+	s, err := settings.Parse(i.machine.Name, []byte(f.Settings(i.machine)+"[peers]\nseeds = "+f.instances[1].machine.IP+":1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sockets, err := edge.Open(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i.log = eventlog.New(s.ID, io.Discard)
+	if i.edge, err = edge.New(s, sockets, i.log); err != nil {
+		t.Fatal(err)
+	}
+	f.await(t, "the instance is ready without the store", i.edge.Ready)
+	f.served(t, 60)
+	f.check(t)
+}
