Register starting instances together; keep readers of the store apart

Change: a starting instance asks a seed first, which writes its entry with others; steps between readers are longer than a read; each read is logged.

--- a/internal/edge/courier.go
+++ b/internal/edge/courier.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
 	"carawaycart"
@@ -37,6 +38,7 @@
 	clock  carawaycart.Clock
 	log    *eventlog.Log
 	doubt  func(carawaycart.Token)
+	ask    func(carawaycart.Registration)
 	done   sync.WaitGroup
 
 	mu       sync.Mutex
@@ -44,11 +46,12 @@
 }
 
 // NewCourier returns a courier that takes in news from conn until Close, and
-// calls doubt for endpoints that answer a peer nothing.
+// calls doubt for endpoints that answer a peer nothing and ask for instances
+// that want to be registered.
 func NewCourier(self carawaycart.InstanceID, zone carawaycart.ZoneID, v *View, conn *net.UDPConn, p *peer.Client,
-	doubt func(carawaycart.Token), k carawaycart.Clock, log *eventlog.Log,
+	doubt func(carawaycart.Token), ask func(carawaycart.Registration), k carawaycart.Clock, log *eventlog.Log,
 ) *Courier {
-	c := &Courier{self: self, zone: zone, view: v, conn: conn, client: p, doubt: doubt, clock: k, log: log}
+	c := &Courier{self: self, zone: zone, view: v, conn: conn, client: p, doubt: doubt, ask: ask, clock: k, log: log}
 	c.done.Go(func() {
 		buf := make([]byte, 64<<10)
 		for {
@@ -218,12 +221,24 @@
 	})
 }
 
+// Join takes in what the peer at address knows, asks it to register own, and
+// reports whether it answered.
+func (c *Courier) Join(ctx context.Context, address netip.AddrPort, own carawaycart.Registration) bool {
+	return c.request(ctx, address, address.String(), &message.DirectoryRequest{
+		Revision: uint64(c.view.State().At), Id: string(own.ID), Zone: string(own.Zone), PeerAddress: own.PeerAddress.String(),
+	})
+}
+
 // Fetch takes in what the peer at address knows better, and reports whether it
 // answered.
 func (c *Courier) Fetch(ctx context.Context, address netip.AddrPort, name string) bool {
+	return c.request(ctx, address, name, &message.DirectoryRequest{Revision: uint64(c.view.State().At)})
+}
+
+func (c *Courier) request(ctx context.Context, address netip.AddrPort, name string, r *message.DirectoryRequest) bool {
 	began := c.clock.Now()
 	reply := &message.DirectoryCopy{}
-	err := c.client.Call(ctx, address, "Directory", &message.DirectoryRequest{Revision: uint64(c.view.State().At)}, reply)
+	err := c.client.Call(ctx, address, "Directory", r, reply)
 	if err == nil {
 		var copied directory.Copy
 		if copied, err = message.ToCopy(reply); err == nil && copied.At > 0 {
@@ -240,6 +255,15 @@
 
 // Directory returns what the requesting peer lacks.
 func (c *Courier) Directory(r *message.DirectoryRequest) (*message.DirectoryCopy, error) {
+	if r.GetId() != "" {
+		address, err := netip.ParseAddrPort(r.GetPeerAddress())
+		if err != nil {
+			return nil, errors.NewNotValid(err, "address of a registration")
+		}
+		c.ask(carawaycart.Registration{
+			ID: carawaycart.InstanceID(r.GetId()), Zone: carawaycart.ZoneID(r.GetZone()), PeerAddress: address,
+		})
+	}
 	copied, confirmed := c.view.Since(carawaycart.StoreRevision(r.GetRevision()))
 	return message.FromCopy(copied, max(c.clock.Now().Sub(confirmed), 0))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -63,10 +64,10 @@
 	e.view = NewView(s.ID, steer.Limits{ColdOverrun: s.ColdOverrun, ColdSlack: s.ColdSlack}, e.router, clock, log)
 	e.store = platform.NewStore(s.Store, e.counters.StoreCall)
 	e.client = peer.NewClient(e.counters)
-	e.courier = NewCourier(s.ID, s.Zone, e.view, o.News, e.client, e.router.Doubt, clock, log)
-	e.prober.tell = e.courier.TellSilent
 	own := carawaycart.Registration{ID: s.ID, Zone: s.Zone, PeerAddress: o.News.LocalAddr().(*net.UDPAddr).AddrPort()}
 	e.registrar = NewRegistrar(own, e.store, e.view, clock, log)
+	e.courier = NewCourier(s.ID, s.Zone, e.view, o.News, e.client, e.router.Doubt, e.registrar.Ask, clock, log)
+	e.prober.tell = e.courier.TellSilent
 	var err error
 	if e.peers, err = peer.NewDirectoryServer(o.Peer, e.courier, e.counters); err != nil {
 		return nil, err
@@ -76,25 +77,31 @@
 	})
 	e.servers = append(e.servers, newReadyServer(o.Ready, platform.ReadyPath, e.Ready))
 	e.servers = append(e.servers, newMetricsServer(o.Operator, e))
-	e.reader = NewReader(s.ID, s.Zone, e.store, e.view, e.courier, e.registrar, clock, log)
-	go e.join()
+	e.reader = NewReader(s, e.store, e.view, e.courier, e.registrar, clock, log)
+	if len(s.Seeds) > 0 {
+		go e.join(own)
+	}
 	log.Event("started").Text("zone", string(s.Zone)).Text("store", s.Store).End()
 	return e, nil
 }
 
-// join asks the seeds for what they know, while the reader asks the store.
-func (e *Edge) join() {
+// joinPeriod is between tries to reach a seed; all instances may start at once.
+const joinPeriod = 50 * time.Millisecond
+
+// join asks the seeds for what they know until the view is known from anywhere.
+func (e *Edge) join(own carawaycart.Registration) {
 	s := e.settings.Load()
-	for _, a := range s.Seeds {
-		address := netip.AddrPortFrom(a.Addr(), s.Peer.Port())
-		if address == s.Peer {
-			continue
+	for first := int(rand.Uint32() & math.MaxInt16); e.view.State().Confirmed.IsZero() && !e.stopping.Load(); first++ {
+		seed := netip.AddrPortFrom(s.Seeds[first%len(s.Seeds)].Addr(), s.Peer.Port())
+		if seed == s.Peer {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+		if e.courier.Join(ctx, seed, own) {
+			e.registrar.Asked()
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
-			defer cancel()
-			e.courier.Fetch(ctx, address, address.String())
-		}()
+		cancel()
+		time.Sleep(joinPeriod)
 	}
 }
 
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -12,18 +13,23 @@
 	"carawaycart"
 	"carawaycart/internal/eventlog"
 	"carawaycart/internal/rendezvous"
+	"carawaycart/internal/settings"
 	"carawaycart/platform"
 )
 
 const (
-	readPeriod  = 700 * time.Millisecond // between reads of the fleet; changes must be in force within 3 s
-	zoneStep    = 40 * time.Millisecond  // an instance of the next zone waits longer by this
-	rankStep    = 150 * time.Millisecond // the next instance of a zone waits longer by this
-	maxRank     = 6                      // ranks wait no longer than this one
-	readLimit   = time.Second            // for the store's answer, which takes 4 ms and up to 60 times that when slow
-	firstRetry  = 100 * time.Millisecond
-	retryPeriod = 400 * time.Millisecond
-	maxRetry    = 2 * time.Second
+	readPeriod     = 600 * time.Millisecond // between reads of the fleet; changes must be in force within 3 s
+	zoneStep       = 150 * time.Millisecond // an instance of the next zone waits longer by this; a read takes up to 120 ms on a 10 Mbit/s link
+	rankStep       = 200 * time.Millisecond // the next instance of a zone waits longer by this
+	maxZone        = 4                      // zones wait no longer than this one
+	maxRank        = 4                      // ranks wait no longer than this one
+	readLimit      = time.Second            // for the store's answer, which takes 4 ms and up to 60 times that when slow
+	seedHeadStart  = 25 * time.Millisecond  // a seed answers within 5 ms
+	startHeadStart = time.Second            // when the whole fleet starts for the first time, seeds take up to 0.3 s
+	firstRetry     = 100 * time.Millisecond
+	retryPeriod    = 400 * time.Millisecond
+	maxRetry       = 2 * time.Second
+	maxRetries     = 6 // doublings of a retry
 )
 
 // Reader reads the store when the fleet's last read is too old.
@@ -37,17 +43,18 @@
 	clock     carawaycart.Clock
 	log       *eventlog.Log
 
+	first    time.Time // when the store is read if no seed has answered
 	failures int
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
 
-// NewReader returns a reader that reads s into v until Close.
-func NewReader(self carawaycart.InstanceID, zone carawaycart.ZoneID, s *platform.Store, v *View, c *Courier, g *Registrar,
-	k carawaycart.Clock, log *eventlog.Log,
-) *Reader {
+// NewReader returns a reader for the instance with settings s that reads store
+// into v until Close.
+func NewReader(s settings.Settings, store *platform.Store, v *View, c *Courier, g *Registrar, k carawaycart.Clock, log *eventlog.Log) *Reader {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{self: self, zone: zone, store: s, view: v, courier: c, registrar: g, clock: k, log: log, cancel: cancel}
+	r := &Reader{self: s.ID, zone: s.Zone, store: store, view: v, courier: c, registrar: g, clock: k, log: log, cancel: cancel}
+	r.first = k.Now().Add(headStart(s))
 	r.done.Go(func() {
 		for ctx.Err() == nil {
 			r.step(ctx)
@@ -62,6 +69,26 @@
 	r.done.Wait()
 }
 
+// headStart returns how much sooner than the store the seeds are asked. An
+// instance that is a seed itself, or has none, reads the store at once.
+func headStart(s settings.Settings) time.Duration {
+	own := func(a netip.AddrPort) bool { return a.Addr() == s.Peer.Addr() }
+	switch {
+	case len(s.Seeds) == 0 || slices.ContainsFunc(s.Seeds, own):
+		return 0
+	case s.FirstStart:
+		return startHeadStart
+	}
+	return seedHeadStart
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // step waits until a read is due, unless a peer reads first.
 func (r *Reader) step(ctx context.Context) {
 	s := r.view.State()
@@ -69,9 +96,14 @@
 	if wait > 0 {
 		t := time.NewTimer(wait)
 		defer t.Stop()
+		var moved <-chan struct{}
+		if s.Confirmed.IsZero() {
+			moved = s.Moved
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-moved:
 		case <-t.C:
 		}
 		if !r.view.State().Confirmed.Equal(s.Confirmed) {
@@ -86,7 +118,7 @@
 // due returns when the instance has to read the store if nobody has before.
 func (r *Reader) due(s *State) time.Time {
 	if s.Confirmed.IsZero() {
-		return r.clock.Now().Add(r.backoff(firstRetry))
+		return later(r.first, r.clock.Now().Add(r.backoff(firstRetry)))
 	}
 	due := s.Confirmed.Add(readPeriod + delay(r.self, r.zone, s.Instances))
 	if r.failures > 0 {
@@ -102,7 +134,7 @@
 	if r.failures == 0 {
 		return 0
 	}
-	return min(first<<min(r.failures-1, maxRank), maxRetry)
+	return min(first<<min(r.failures-1, maxRetries), maxRetry)
 }
 
 // delay returns how much longer than readPeriod the instance waits for others to
@@ -121,7 +153,7 @@
 		}
 	}
 	slices.SortFunc(zones, func(a, b carawaycart.ZoneID) int { return cmp.Compare(a, b) })
-	return time.Duration(slices.Index(zones, zone))*zoneStep + time.Duration(min(rank, maxRank))*rankStep
+	return time.Duration(min(slices.Index(zones, zone), maxZone))*zoneStep + time.Duration(min(rank, maxRank))*rankStep
 }
 
 // read reads the store and tells the peers.
@@ -144,7 +176,10 @@
 		r.log.Event("storeRegained").Int("failures", int64(r.failures)).Int("revision", int64(read.At)).End()
 	}
 	r.failures = 0
-	r.courier.Tell(r.view.TakeRead(read, began), began)
+	change := r.view.TakeRead(read, began)
+	r.log.Event("read").Int("revision", int64(read.At)).Int("written", int64(len(change.Items))).
+		Int("missing", int64(len(change.Missing))).Millis("tookMs", now.Sub(began)).End()
+	r.courier.Tell(change, began)
 }
 
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 	Format       Format
 	Ready        netip.AddrPort // TCP, HTTP for the fabric's question whether to send packets
 	GraceSeconds carawaycart.Seconds
+	FirstStart   bool    // the whole fleet starts for the first time
 	ColdOverrun  float64 // multiple of what cold endpoints say they bear
 	ColdSlack    float64 // requests a second on top
 }
@@ -157,6 +158,17 @@
 		Section: "peers", Key: "seeds", Meaning: "Peer addresses to join by, separated by commas; with format `token` their ports are replaced by the instance's own.",
 		set: setSeeds,
 	},
+	{
+		Section: "peers", Key: "firstStart", Meaning: "`true` if the whole fleet starts for the first time; the seeds then get more time to answer.", Default: "false", Only: FormatToken,
+		set: func(s *Settings, v string) error {
+			b, err := strconv.ParseBool(v)
+			if err != nil {
+				return errors.NotValidf("%q (want true or false)", v)
+			}
+			s.FirstStart = b
+			return nil
+		},
+	},
 	{
 		Section: "threads", Key: "fabric", Meaning: "Threads that forward packets, 1 to 64.", Default: "2",
 		set: setThreads,
