Refuse new flows at once when every endpoint is silent

Change: a silent endpoint takes no new flow; if there is no other, the caller is told at once. News are no longer waited for at the end of an instance.

Ruled out: endpoints of the own zone (it was out) and instances elsewhere (the routers use those of the caller's zone).

--- a/core/steer/place.go
+++ b/core/steer/place.go
@@ -36,12 +36,10 @@
 // tier returns the class of c; a lower one goes first whatever the cost.
 func (c *Candidate) tier() int {
 	switch {
-	case c.Full:
+	case c.Full, c.Silent:
 		return tierNone
 	case c.Tried:
 		return tierTried
-	case c.Silent:
-		return tierSilent
 	case c.Avoided && c.Lapsed:
 		return tierLast
 	case c.Avoided:
@@ -58,13 +56,13 @@
 	tierLapsed
 	tierAvoided
 	tierLast
-	tierSilent
 	tierTried
 	tierNone
 )
 
 // Choose returns the index of the candidate that should take a new flow, or -1
-// if none may. Draw returns a number from 0 up to and without its argument, by
+// if none may. Silent candidates may not: what is certain to go unanswered is
+// better refused at once, and probes tell when one is back. Draw returns a number from 0 up to and without its argument, by
 // which ties are broken.
 func Choose(candidates []Candidate, draw func(int) int) int {
 	best, bestTier, bestCost, ties := -1, tierNone, 0.0, 0
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -202,17 +202,20 @@
 	defer r.mu.Unlock()
 	endpoints := to.endpoints
 	r.candidates = r.candidates[:0]
-	cold := false
+	cold, silent := false, false
 	for _, e := range endpoints {
 		c := e.candidate(r.zone, now)
 		c.Tried = isTried(tried, e)
-		cold = cold || c.Full
+		cold, silent = cold || c.Full, silent || c.Silent
 		r.candidates = append(r.candidates, c)
 	}
 	i := Choose(r.candidates, r.random.IntN)
 	if i < 0 {
-		if cold {
+		switch {
+		case cold:
 			return nil, carawaycart.CauseCold
+		case silent:
+			return nil, carawaycart.CauseSilent
 		}
 		return nil, carawaycart.CauseNoEndpoint
 	}
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -223,6 +223,23 @@
 	}
 }
 
+// The load pattern of a zone that is out and cut off from the others: nothing can
+// be served, so callers are told at once instead of waiting out their time.
+func TestNothingIsHeldWhenAllEndpointsAreSilent(t *testing.T) {
+	f := newFleet(1, 2)
+	for _, id := range []carawaycart.EndpointID{"i-01", "i-02"} {
+		silence(t, f, 0, id, start)
+	}
+	now := start.Add(time.Second)
+	if d := f.routers[0].Decide(first(1, order), now); d.Verdict != carawaycart.VerdictReset || d.Cause != carawaycart.CauseSilent {
+		t.Errorf("got verdict %d for %s, want a reset for silent", d.Verdict, d.Cause)
+	}
+	f.routers[0].Probed(f.endpoint("i-02").Key(), true, now, now)
+	if d := f.routers[0].Decide(first(2, order), now); d.Endpoint != "i-02" {
+		t.Errorf("got %q, want i-02, which answered a probe", d.Endpoint)
+	}
+}
+
 // An endpoint that is full takes no new flow but answers those that it holds,
 // and its probe: it must not be taken for silent.
 func TestFullEndpointIsNotSilent(t *testing.T) {
--- a/internal/edge/courier.go
+++ b/internal/edge/courier.go
@@ -30,6 +30,8 @@
 // Courier carries what was read from the store from peer to peer. It implements
 // peer.DirectoryHandler.
 type Courier struct {
+	ctx    context.Context // ends when the courier is closed
+	cancel context.CancelFunc
 	self   carawaycart.InstanceID
 	zone   carawaycart.ZoneID
 	view   *View
@@ -51,7 +53,8 @@
 func NewCourier(self carawaycart.InstanceID, zone carawaycart.ZoneID, v *View, conn *net.UDPConn, p *peer.Client,
 	doubt func(carawaycart.Token), ask func(carawaycart.Registration), k carawaycart.Clock, log *eventlog.Log,
 ) *Courier {
-	c := &Courier{self: self, zone: zone, view: v, conn: conn, client: p, doubt: doubt, ask: ask, clock: k, log: log}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Courier{ctx: ctx, cancel: cancel, self: self, zone: zone, view: v, conn: conn, client: p, doubt: doubt, ask: ask, clock: k, log: log}
 	c.done.Go(func() {
 		buf := make([]byte, 64<<10)
 		for {
@@ -70,6 +73,7 @@
 
 // Close stops taking in news.
 func (c *Courier) Close() {
+	c.cancel()
 	_ = c.conn.Close()
 	c.done.Wait()
 }
@@ -209,7 +213,7 @@
 		return
 	}
 	c.done.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+		ctx, cancel := context.WithTimeout(c.ctx, fetchLimit)
 		defer cancel()
 		ok := c.Fetch(ctx, from, news.GetFrom())
 		c.mu.Lock()
