Answer operators of an instance that serves tokens

Cause: status, explain and histograms were missing on the platform.

Change: the operator's server answers status (endpoints with their condition, registered members, alarms for an old view and silent endpoints), explains flows, and writes histograms as quantiles.

--- a/internal/edge/counters.go
+++ b/internal/edge/counters.go
@@ -25,8 +25,6 @@
 	Silenced  metrics.Counter
 	Probes    metrics.Counter
 	NewsBytes metrics.Counter
-	Revision  metrics.Gauge
-	ViewAge   metrics.Gauge // milliseconds
 	Latency   metrics.Histogram
 
 	dropped    [carawaycart.CauseCount]metrics.Counter
@@ -54,8 +52,6 @@
 		Silenced:   metrics.NewRegisteredCounter("endpointsSilent", r),
 		Probes:     metrics.NewRegisteredCounter("probes", r),
 		NewsBytes:  metrics.NewRegisteredCounter("peerBytes.news", r),
-		Revision:   metrics.NewRegisteredGauge("storeRevision", r),
-		ViewAge:    metrics.NewRegisteredGauge("viewAgeMillis", r),
 		Latency:    metrics.NewRegisteredHistogram("decisionNanos", r, metrics.NewExpDecaySample(latencySamples, latencyAlpha)),
 		storeCalls: make(map[[2]string]metrics.Counter),
 	}
@@ -74,6 +70,12 @@
 	return c
 }
 
+// ShowView makes the revision and the age of the view metrics.
+func (c *Counters) ShowView(revision, ageMillis func() int64) {
+	metrics.NewRegisteredFunctionalGauge("storeRevision", c.Registry, revision)
+	metrics.NewRegisteredFunctionalGauge("viewAgeMillis", c.Registry, ageMillis)
+}
+
 // Fault counts a datagram that could not be decoded.
 func (c *Counters) Fault(f carawaycart.Fault) { c.faults[f].Inc(1) }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"carawaycart/internal/eventlog"
 	"carawaycart/internal/settings"
 	"carawaycart/io/fabric"
+	"carawaycart/io/operator"
 	"carawaycart/io/peer"
 	"carawaycart/platform"
 )
@@ -46,7 +47,8 @@
 	hedger    *Hedger
 	peers     *peer.Server
 	port      *fabric.Port
-	servers   []*http.Server
+	ready     *http.Server
+	operators *operator.Server
 
 	stopping atomic.Bool
 	last     atomic.Int64
@@ -77,8 +79,12 @@
 	e.port = fabric.NewTranslatorPort(o.Fabric, s.FabricThreads, func() fabric.Translator {
 		return &packets{router: e.router, clock: clock, counters: e.counters, resetPort: s.Fabric.Port(), last: &e.last, hedger: e.hedger}
 	})
-	e.servers = append(e.servers, newReadyServer(o.Ready, platform.ReadyPath, e.Ready))
-	e.servers = append(e.servers, newMetricsServer(o.Operator, e))
+	e.counters.ShowView(
+		func() int64 { return int64(e.view.State().At) },
+		func() int64 { return clock.Now().Sub(e.view.State().Confirmed).Milliseconds() },
+	)
+	e.ready = newReadyServer(o.Ready, platform.ReadyPath, e.Ready)
+	e.operators = operator.NewServer(o.Operator, e, e.counters.Registry)
 	e.reader = NewReader(s, e.store, e.view, e.courier, e.registrar, clock, log)
 	if len(s.Seeds) > 0 {
 		go e.join(own)
@@ -154,11 +160,10 @@
 	if err := e.port.Close(); err != nil {
 		e.log.Event("closeFailed").Err(err).End()
 	}
-	for _, s := range e.servers {
-		if err := s.Close(); err != nil {
-			e.log.Event("closeFailed").Err(err).End()
-		}
+	if err := e.ready.Close(); err != nil {
+		e.log.Event("closeFailed").Err(err).End()
 	}
+	e.operators.Close()
 	e.hedger.Close()
 	e.prober.Close()
 	e.client.Close()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"io"
+	"net/http"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"carawaycart/internal/edge"
 	"carawaycart/internal/eventlog"
 	"carawaycart/internal/settings"
+	"carawaycart/io/operator"
 	"carawaycart/platform/standin"
 )
 
@@ -232,3 +238,43 @@
 	f.served(t, 60)
 	f.check(t)
 }
+
+// Operators ask a running instance.
+func TestStatusMetricsAndExplanation(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2, 2)
+	f.BeginLoad(2, 10)
+	f.served(t, 40)
+	f.Hosts[1].Set(standin.Dark)
+	e := f.instances[0].edge
+	f.await(t, "the dark host is an alarm", func() bool { return len(e.Status().Alarms) > 0 })
+	s := e.Status()
+	if s.State != "ready" || len(s.Members) != 2 || len(s.Endpoints) != 2 {
+		t.Errorf("got state %s, %d members, %d endpoints, want ready, 2, 2", s.State, len(s.Members), len(s.Endpoints))
+	}
+	key, err := operator.ParseFlow("tcp", "100.64.0.1:1024", "198.18.0.1:8443")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x, err := e.ExplainFlow(key); err != nil || x.Rule == "" {
+		t.Errorf("got rule %q, %v, want one", x.Rule, err)
+	}
+	key.Service = netip.MustParseAddrPort("198.18.7.7:1")
+	if _, err := e.ExplainFlow(key); !errors.Is(err, errors.NotFound) {
+		t.Errorf("got error %v for an address without a route, want NotFound", err)
+	}
+	response, err := http.Get("http://" + f.instances[0].machine.Metrics + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"carawaycart_flowsPlaced ", `carawaycart_decisionNanos{quantile="0.99"}`, "carawaycart_viewAgeMillis ", `carawaycart_storeCalls{kind="range.done"}`} {
+		if !strings.Contains(string(body), want) {
+			t.Errorf("got no %s in the metrics:\n%s", want, body)
+		}
+	}
+}
--- a/io/operator/metrics.go
+++ b/io/operator/metrics.go
@@ -24,6 +24,10 @@
 			kinds[base], value = "counter", m.Count()
 		case metrics.Gauge:
 			kinds[base], value = "gauge", m.Value()
+		case metrics.Histogram:
+			kinds[base] = "summary"
+			lines[base] = histogramLines(base, m.Snapshot())
+			return
 		default:
 			return
 		}
@@ -43,3 +47,14 @@
 		_, _ = fmt.Fprintf(w, "# TYPE %s%s %s\n%s\n", metricPrefix, base, kinds[base], strings.Join(lines[base], "\n"))
 	}
 }
+
+// quantiles are those that are written of a histogram.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+func histogramLines(base string, h metrics.Histogram) []string {
+	var lines []string
+	for i, v := range h.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s%s{quantile=\"%g\"} %g", metricPrefix, base, quantiles[i], v))
+	}
+	return append(lines, fmt.Sprintf("%s%s_count %d", metricPrefix, base, h.Count()), fmt.Sprintf("%s%s_sum %d", metricPrefix, base, h.Sum()))
+}
