Trace a flow or an endpoint over several instances' logs

Cause: a flow's packets pass several instances, and nothing joined their logs.

Change: carawaycart trace prints the lines of a flow or an endpoint in order of time. Tests of the event log: format, bounds, a writer that stands still.

--- a/cmd/carawaycart/main.go
+++ b/cmd/carawaycart/main.go
@@ -78,6 +78,7 @@
 		newAuditCommand(stdout, stderr),
 		newStatusCommand(stdout, stderr),
 		newExplainCommand(stdout, stderr),
+		newTraceCommand(stdout, stderr),
 	)
 }
 
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,77 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"carawaycart"
+	"carawaycart/internal/eventlog"
+)
+
+func TestLine(t *testing.T) {
+	var out bytes.Buffer
+	l := eventlog.New("a", &out)
+	key := carawaycart.FlowKey{Caller: netip.MustParseAddrPort("100.64.0.1:10"), Service: netip.MustParseAddrPort("198.18.0.1:443")}
+	l.Event("placed").Flow(&key).Int("copy", 1).Text("why", `a "b" c`).Bool("cold", false).End()
+	l.Close()
+	_, got, _ := strings.Cut(out.String(), " ")
+	want := "event=placed instance=a flow=100.64.0.1:10 service=198.18.0.1:443 copy=1 why=\"a \\\"b\\\" c\" cold=false\n"
+	if got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// stuck is a writer that never returns until it is freed.
+type stuck struct {
+	free chan struct{}
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.free
+	return len(b), nil
+}
+
+// A reader of the log that stands still must not hold up a decision, nor let the
+// memory grow; what is left out is counted.
+func TestStuckWriterHoldsUpNobody(t *testing.T) {
+	w := &stuck{free: make(chan struct{})}
+	l := eventlog.New("a", w)
+	for range 100000 {
+		l.Event("placed").Int("n", 1).End()
+	}
+	close(w.free)
+	l.Close()
+}
+
+func TestOmittedLinesAreCounted(t *testing.T) {
+	var out bytes.Buffer
+	l := eventlog.New("a", &out)
+	for range 5000 {
+		l.Event("placed").End()
+	}
+	l.Event("started").End()
+	l.Close()
+	if n := strings.Count(out.String(), "event=placed"); n >= 5000 || n == 0 {
+		t.Errorf("got %d of 5000 lines, want some and not all", n)
+	}
+	if !strings.Contains(out.String(), "event=started") {
+		t.Error("got the line of another kind left out")
+	}
+}
+
+func TestNilLogTakesNothing(t *testing.T) {
+	var l *eventlog.Log
+	l.Event("placed").Int("n", 1).Text("a", "b").End()
+	l.Close()
+}
+
+func BenchmarkEvent(b *testing.B) {
+	l := eventlog.New("a", &bytes.Buffer{})
+	key := carawaycart.FlowKey{Caller: netip.MustParseAddrPort("100.64.0.1:10"), Service: netip.MustParseAddrPort("198.18.0.1:443")}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Event("placed").Flow(&key).Int("copy", 1).Text("endpoint", "i-1").End()
+	}
+}
