Let operators' profiles and zones rule the fleet on the platform

Cause: on the platform only the platform's configuration had an effect; the product's own profiles, their services and zones out had none.

Change: the platform's store implements carawaycart.Store, so the same commands write the same change log there (-fabric token).

--- a/cmd/carawaycart/operator.go
+++ b/cmd/carawaycart/operator.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -19,7 +20,9 @@
 	"carawaycart"
 	"carawaycart/core/config"
 	"carawaycart/internal/admin"
+	"carawaycart/internal/settings"
 	"carawaycart/io/platform"
+	users "carawaycart/platform"
 )
 
 // callLimit bounds an operator's command.
@@ -28,12 +31,15 @@
 // storeFlags are the flags of commands that use the platform's store.
 type storeFlags struct {
 	url      string
+	fabric   string
 	operator string
 	output   string
 }
 
 func (f *storeFlags) register(flags *flag.FlagSet) {
 	flags.StringVar(&f.url, "store", os.Getenv("CARAWAYCART_STORE"), "`URL` of the platform's store (default $CARAWAYCART_STORE)")
+	flags.StringVar(&f.fabric, "fabric", cmp.Or(os.Getenv("CARAWAYCART_FABRIC"), string(settings.FormatGeneve)),
+		"`format` of the packets, geneve or token: with token, the store is the users' platform's (default $CARAWAYCART_FABRIC)")
 	flags.StringVar(&f.operator, "operator", defaultOperator(), "operator's `name` for the audit trail")
 	flags.StringVar(&f.output, "output", "table", "`format` of the output, table or json")
 }
@@ -63,7 +69,17 @@
 		return nil, usagef("-output %q (want table or json)", f.output)
 	}
 	clock := carawaycart.NewSystemClock()
-	log := platform.NewChangeLog(platform.NewStore(strings.TrimSuffix(f.url, "/"), nil), clock)
+	base := strings.TrimSuffix(f.url, "/")
+	var store carawaycart.Store
+	switch settings.Format(f.fabric) {
+	case settings.FormatGeneve:
+		store = platform.NewStore(base, nil)
+	case settings.FormatToken:
+		store = users.NewStore(base, nil)
+	default:
+		return nil, usagef("-fabric %q (want geneve or token)", f.fabric)
+	}
+	log := platform.NewChangeLog(store, clock)
 	return &session{
 		log: log, admin: admin.NewAdmin(log, carawaycart.OperatorName(f.operator), clock), stdout: stdout, json: f.output == "json",
 	}, nil
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -166,6 +166,12 @@
 	return true
 }
 
+// Item returns the item at key, if there is one.
+func (d *Directory) Item(key string) (carawaycart.StoreItem, bool) {
+	e, ok := d.items[key]
+	return e.item, ok
+}
+
 // Contents are the meanings of all items, ordered by key.
 type Contents struct {
 	Config    *carawaycart.RouteConfig
--- a/core/steer/cold.go
+++ b/core/steer/cold.go
@@ -13,10 +13,12 @@
 // the fleet differ stay within the bound together.
 const coldReserve = 2
 
-// ColdShare is how many new flows an instance may give a cold endpoint in any
-// second; the zero value allows none.
+// ColdShare is how many new flows an instance may give a cold endpoint; the zero
+// value allows none.
 type ColdShare struct {
-	Flows int
+	Flows   int  // in any second
+	Limited bool // by the service's profile
+	Sum     int  // while the endpoint is cold, if Limited
 }
 
 // NewColdShare returns the share of an instance that ranks at rank, from zero,
@@ -27,15 +29,24 @@
 	if members <= 0 || total <= 0 || rank < 0 {
 		return ColdShare{}
 	}
+	return ColdShare{Flows: part(total, members, rank)}
+}
+
+// part returns what the member that ranks at rank has of total.
+func part(total, members, rank int) int {
 	share := total / members
 	if rank < total%members {
 		share++
 	}
-	return ColdShare{Flows: share}
+	return share
 }
 
-// Allows reports whether another flow may be given at now, after those at taken.
-func (s ColdShare) Allows(taken []time.Time, now time.Time) bool {
+// Allows reports whether another flow may be given at now, after those at taken,
+// and sum in all while the endpoint was cold.
+func (s ColdShare) Allows(taken []time.Time, sum int, now time.Time) bool {
+	if s.Limited && sum >= s.Sum {
+		return false
+	}
 	recent := 0
 	for _, t := range taken {
 		if now.Sub(t) < coldWindow+coldMargin {
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -16,6 +16,7 @@
 	presence  directory.Presence
 	coldUntil time.Time
 	coldShare ColdShare
+	warmUntil time.Time // after the cold time, while its profile favours others
 	returning time.Time // its zone was taken back; entries from before this may be old
 	record    *record
 }
@@ -53,9 +54,10 @@
 		Avoided: r.misses > 0 && (now.Before(r.avoid) || r.opening > 0),
 		Silent:  r.silent, Failing: r.tally.failing(now),
 	}
+	c.Cold = now.Before(e.warmUntil)
 	if now.Before(e.coldUntil) {
 		c.Cold = true
-		c.Full = !e.coldShare.Allows(r.taken, now)
+		c.Full = !e.coldShare.Allows(r.taken, r.coldSum, now)
 	}
 	return c
 }
@@ -68,6 +70,9 @@
 	r.opening++
 	if now.Before(e.coldUntil) {
 		r.taken = e.coldShare.Note(r.taken, now)
+		r.coldSum++
+	} else {
+		r.coldSum = 0
 	}
 }
 
@@ -88,6 +93,7 @@
 	avoid    time.Time
 	answered time.Time
 	taken    []time.Time // when it was given flows while cold, lately
+	coldSum  int         // flows that it was given while cold
 	tally    tally       // of requests, seen here and by peers
 	unshared Outcomes    // seen here and not told to peers
 }
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -51,6 +51,7 @@
 	Roster   *directory.Roster
 	Self     carawaycart.InstanceID
 	Limits   Limits
+	Profiles map[carawaycart.ServiceID]carawaycart.Profile // of the services that operators gave one
 }
 
 // NewTable returns the table for in at now. Endpoints that were in previous,
@@ -95,8 +96,12 @@
 			old = previous.byKey[key]
 		}
 		e := newEndpoint(s, old, t.returned(previous, s.Lifetime.Zone), now)
+		profile, ok := in.Profiles[s.Lifetime.Service]
+		if ok {
+			e.warmUntil = e.coldUntil.Add(profile.WarmupSeconds.Duration())
+		}
 		if now.Before(e.coldUntil) {
-			e.coldShare = coldShare(in, policies[s.Lifetime.Service], key)
+			e.coldShare = coldShare(in, policies[s.Lifetime.Service], profile, key)
 		}
 		t.byKey[key] = e
 		keys = append(keys, key)
@@ -115,8 +120,9 @@
 	return previous != nil && previous.zones[zone] && !t.zones[zone]
 }
 
-// coldShare returns the share that the instance has of a cold endpoint.
-func coldShare(in *Input, policy carawaycart.ServicePolicy, key carawaycart.LifetimeKey) ColdShare {
+// coldShare returns the share that the instance has of a cold endpoint. A profile
+// without a name limits nothing.
+func coldShare(in *Input, policy carawaycart.ServicePolicy, profile carawaycart.Profile, key carawaycart.LifetimeKey) ColdShare {
 	bound := policy.ColdPerSecond*in.Limits.ColdOverrun + in.Limits.ColdSlack
 	place := rendezvous.NewKey(string(key.ID))
 	own := rendezvous.Score(rendezvous.NewName(string(in.Self)), place)
@@ -130,7 +136,12 @@
 			rank++
 		}
 	}
-	return NewColdShare(bound, members, rank)
+	share := NewColdShare(bound, members, rank)
+	if profile.Name != "" {
+		share.Limited = true
+		share.Sum = part(profile.ColdFlows, members, rank)
+	}
+	return share
 }
 
 func (t *Table) addRoutes(c *carawaycart.RouteConfig) {
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -24,7 +24,7 @@
 	maxZone        = 4                      // zones wait no longer than this one
 	maxRank        = 4                      // ranks wait no longer than this one
 	readLimit      = time.Second            // for the store's answer, which takes 4 ms and up to 60 times that when slow
-	seedHeadStart  = 25 * time.Millisecond  // a seed answers within 5 ms
+	seedHeadStart  = 12 * time.Millisecond  // a seed answers within 5 ms
 	startHeadStart = time.Second            // when the whole fleet starts for the first time, seeds take up to 0.3 s
 	firstRetry     = 100 * time.Millisecond
 	retryPeriod    = 400 * time.Millisecond
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/config"
 	"carawaycart/core/directory"
 	"carawaycart/core/steer"
 	"carawaycart/internal/eventlog"
@@ -28,8 +29,9 @@
 	directory *directory.Directory
 	roster    *directory.Roster
 	contents  directory.Contents
-	confirmed time.Time // when the store was read last, as far as is known here
-	trouble   time.Time // when the store was last known to be in trouble
+	own       *config.Configuration // that operators set by the product's commands
+	confirmed time.Time             // when the store was read last, as far as is known here
+	trouble   time.Time             // when the store was last known to be in trouble
 	moved     chan struct{}
 }
 
@@ -38,6 +40,7 @@
 	return &View{
 		self: self, limits: l, router: r, clock: k, log: log,
 		directory: directory.New(platform.Decode), roster: directory.NewRoster(), moved: make(chan struct{}),
+		own: config.New(),
 	}
 }
 
@@ -129,14 +132,22 @@
 // rebuild makes the router decide by the directory as it is at now.
 func (v *View) rebuild(source string, now time.Time) {
 	v.contents = v.directory.Contents()
+	own, err := operatorsConfig(v.directory, v.clock)
+	if err != nil {
+		// The last good one stays in force.
+		v.log.Event("profilesRefused").Err(err).End()
+	} else if own.Revision >= v.own.Revision {
+		v.own = own
+	}
+	profiles := applyOperators(&v.contents, v.own)
 	v.roster.Update(&v.contents, now)
 	t := steer.NewTable(&steer.Input{
-		Contents: v.contents, Revision: v.directory.At(), Roster: v.roster, Self: v.self, Limits: v.limits,
+		Contents: v.contents, Revision: v.directory.At(), Roster: v.roster, Self: v.self, Limits: v.limits, Profiles: profiles,
 	}, v.router.Table(), now)
 	v.router.SetTable(t)
 	v.log.Event("view").Int("revision", int64(v.directory.At())).Int("config", int64(t.Version)).
 		Int("lifetimes", int64(len(v.contents.Lifetimes))).Int("instances", int64(len(v.contents.Instances))).
-		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.Refused())).
+		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.Refused())).Int("profiles", int64(v.own.Revision)).
 		Text("source", source).Millis("ageMs", now.Sub(v.confirmed)).End()
 }
 
