Tell starting instances which lifetimes have ended

Change: a peer's copy names the lifetimes that it remembers as ended. An instance that started from the store asks a peer of its zone for them.

Ruled out: the store (it keeps nothing of removed entries).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -114,11 +114,13 @@
 }
 
 // Copy is what a peer needs that is whole at an earlier revision: the items
-// written since, and the keys of all items.
+// written since, the keys of all items, and the lifetimes that have ended lately,
+// of which the store tells nothing.
 type Copy struct {
 	At    carawaycart.StoreRevision
 	Items []carawaycart.StoreItem
 	Keys  []string
+	Ended []carawaycart.LifetimeKey
 }
 
 // Since returns the copy for a peer that is whole at revision r.
--- a/core/directory/roster.go
+++ b/core/directory/roster.go
@@ -132,6 +132,33 @@
 	return false
 }
 
+// Ended returns the lifetimes that are remembered as ended.
+func (r *Roster) Ended() []carawaycart.LifetimeKey {
+	var keys []carawaycart.LifetimeKey
+	for key, s := range r.seen {
+		if s.Presence == Ended {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Remember takes in lifetimes that ended before the instance knew them, and
+// reports whether any was new.
+func (r *Roster) Remember(keys []carawaycart.LifetimeKey, now time.Time) bool {
+	added := false
+	for _, key := range keys {
+		if r.seen[key] != nil {
+			continue
+		}
+		added = true
+		r.seen[key] = &Seen{
+			Lifetime: carawaycart.Lifetime{ID: key.ID, Born: key.Born}, Presence: Ended, Deadline: now.Add(memoryPeriod),
+		}
+	}
+	return added
+}
+
 // All calls f with each lifetime that is remembered, in no order.
 func (r *Roster) All(f func(*Seen)) {
 	for _, s := range r.seen {
--- a/core/directory/roster_test.go
+++ b/core/directory/roster_test.go
@@ -136,3 +136,26 @@
 		t.Errorf("got %d lifetimes, want i-1 alone", len(c.Lifetimes))
 	}
 }
+
+// An instance that starts knows nothing of lifetimes that ended before, whose
+// flows still come: its peers tell.
+func TestEndedLifetimesOfPeersAreRemembered(t *testing.T) {
+	one, two := lifetime("i-1", 1, "10.0.0.1:80"), lifetime("i-2", 1, "10.0.0.2:80")
+	old := directory.NewRoster()
+	old.Update(contents(one, two), start)
+	old.Update(contents(two), start.Add(time.Second))
+	fresh := directory.NewRoster()
+	fresh.Update(contents(two), start.Add(2*time.Second))
+	if !fresh.Remember(append(old.Ended(), two.Key()), start.Add(2*time.Second)) {
+		t.Error("got nothing new")
+	}
+	if got, ok := presence(fresh, "i-1", 1); !ok || got != directory.Ended {
+		t.Errorf("got presence %d (known %t) of i-1, want ended", got, ok)
+	}
+	if got, _ := presence(fresh, "i-2", 1); got != directory.Present {
+		t.Errorf("got presence %d of i-2, want it present: its entry is there", got)
+	}
+	if fresh.Remember(old.Ended(), start.Add(3*time.Second)) {
+		t.Error("got news from what was known")
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -96,23 +96,44 @@
 // joinPeriod is between tries to reach a seed; all instances may start at once.
 const joinPeriod = 50 * time.Millisecond
 
-// join asks the seeds for what they know until the view is known from anywhere.
+// join asks the seeds for what they know until one has answered. Once the view is
+// known from the store, any peer of the zone does: it knows which lifetimes have
+// ended, and the store does not.
 func (e *Edge) join(own carawaycart.Registration) {
 	s := e.settings.Load()
-	for first := int(rand.Uint32() & math.MaxInt16); e.view.State().Confirmed.IsZero() && !e.stopping.Load(); first++ {
-		seed := netip.AddrPortFrom(s.Seeds[first%len(s.Seeds)].Addr(), s.Peer.Port())
-		if seed == s.Peer {
+	for try := int(rand.Uint32() & math.MaxInt16); !e.stopping.Load(); try++ {
+		view := e.view.State()
+		address, ok := e.introducer(s, &view, try)
+		if !ok {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
-		if e.courier.Join(ctx, seed, own) {
+		joined := e.courier.Join(ctx, address, own)
+		cancel()
+		if joined {
 			e.registrar.Asked()
+			return
 		}
-		cancel()
 		time.Sleep(joinPeriod)
 	}
 }
 
+// introducer returns whom to ask next, or false if there is nobody.
+func (e *Edge) introducer(s *settings.Settings, view *State, try int) (netip.AddrPort, bool) {
+	if !view.Confirmed.IsZero() {
+		peers := e.courier.neighbours(view.Instances)
+		if len(peers) == 0 {
+			return netip.AddrPort{}, false
+		}
+		return peers[try%len(peers)].PeerAddress, true
+	}
+	if len(s.Seeds) == 0 {
+		return netip.AddrPort{}, false
+	}
+	seed := netip.AddrPortFrom(s.Seeds[try%len(s.Seeds)].Addr(), s.Peer.Port())
+	return seed, seed != s.Peer
+}
+
 // Reload takes in settings that were read again, or the reason why they could
 // not be. What names the instance or a socket takes effect at the next start.
 func (e *Edge) Reload(s settings.Settings, err error) {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -107,9 +107,12 @@
 func (v *View) TakeCopy(c directory.Copy, from string, began time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	changed := v.directory.Adopt(c)
+	remembered := v.roster.Remember(c.Ended, v.clock.Now())
+	changed := v.directory.Adopt(c) || remembered
 	if c.At >= v.directory.At() {
 		v.confirm(began, from, changed)
+	} else if remembered {
+		v.rebuild(from, v.clock.Now())
 	}
 }
 
@@ -170,5 +173,7 @@
 func (v *View) Since(r carawaycart.StoreRevision) (directory.Copy, time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.directory.Since(r), v.confirmed
+	c := v.directory.Since(r)
+	c.Ended = v.roster.Ended()
+	return c, v.confirmed
 }
--- a/message/directory.go
+++ b/message/directory.go
@@ -45,7 +45,11 @@
 // FromCopy returns the message for c, which was confirmed by the store a time
 // of age ago.
 func FromCopy(c directory.Copy, age time.Duration) (*DirectoryCopy, error) {
-	data, err := proto.Marshal(&DirectoryBody{Items: FromItems(c.Items), Keys: c.Keys})
+	body := &DirectoryBody{Items: FromItems(c.Items), Keys: c.Keys}
+	for _, k := range c.Ended {
+		body.Ended = append(body.Ended, &EndedLifetime{Id: string(k.ID), BornMs: int64(k.Born)})
+	}
+	data, err := proto.Marshal(body)
 	if err != nil {
 		return nil, errors.Annotate(err, "encode copy of directory")
 	}
@@ -73,7 +77,11 @@
 	if err := proto.Unmarshal(data, body); err != nil {
 		return directory.Copy{}, errors.NewNotValid(err, "copy of directory")
 	}
-	return directory.Copy{
-		At: carawaycart.StoreRevision(m.GetAtRevision()), Items: ToItems(body.GetItems()), Keys: body.GetKeys(),
-	}, nil
+	c := directory.Copy{At: carawaycart.StoreRevision(m.GetAtRevision()), Items: ToItems(body.GetItems()), Keys: body.GetKeys()}
+	for _, e := range body.GetEnded() {
+		c.Ended = append(c.Ended, carawaycart.LifetimeKey{
+			ID: carawaycart.EndpointID(e.GetId()), Born: carawaycart.UnixMillis(e.GetBornMs()),
+		})
+	}
+	return c, nil
 }
