--- a/core/steer/cold.go
+++ b/core/steer/cold.go
@@ -1,6 +1,9 @@
 package steer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // coldWindow is the span over which the platform counts the flows that a cold
 // endpoint is given.
@@ -58,11 +61,6 @@
 
 // Note returns taken with now added and what no longer counts removed.
 func (s ColdShare) Note(taken []time.Time, now time.Time) []time.Time {
-	kept := taken[:0]
-	for _, t := range taken {
-		if now.Sub(t) < coldWindow+coldMargin {
-			kept = append(kept, t)
-		}
-	}
-	return append(kept, now)
+	taken = slices.DeleteFunc(taken, func(t time.Time) bool { return now.Sub(t) >= coldWindow+coldMargin })
+	return append(taken, now)
 }
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -124,7 +124,8 @@
 		if f.phase == phaseOpening {
 			r.missed(f.endpoint, "first", f.sent, now)
 		}
-		tried = append(f.tried, f.endpoint)
+		tried = append(tried, f.tried...)
+		tried = append(tried, f.endpoint)
 		s.remove(id, f)
 	}
 	to := r.target(route)
@@ -179,7 +180,8 @@
 		return carawaycart.Decision{}, false
 	}
 	r.missed(f.endpoint, "first", f.sent, now)
-	f.tried = append(f.tried, f.endpoint)
+	f.tried = append(tried, f.tried...)
+	tried = append(tried, f.endpoint)
 	var e *endpoint
 	if route := t.routes[id.service]; route != nil && len(f.tried) < maxTried {
 		if to := r.target(route); to != nil {
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -55,8 +55,10 @@
 		{"token that nobody has", func(*fleet, carawaycart.EndpointID) {}, func(t carawaycart.Token) *carawaycart.Packet {
 			return request(1, feed, t+1)
 		}, carawaycart.VerdictDrop, carawaycart.CauseUnknownToken},
-		{"owner ended", func(f *fleet, e carawaycart.EndpointID) { f.remove(e) }, dataOf(feed),
-			carawaycart.VerdictReset, carawaycart.CauseEnded},
+		{
+			"owner ended", func(f *fleet, e carawaycart.EndpointID) { f.remove(e) }, dataOf(feed),
+			carawaycart.VerdictReset, carawaycart.CauseEnded,
+		},
 		{"reset to an owner that ended", func(f *fleet, e carawaycart.EndpointID) { f.remove(e) }, func(t carawaycart.Token) *carawaycart.Packet {
 			p := acknowledgement(1, feed, t)
 			p.Kind, p.Reset = carawaycart.PacketLast, true
@@ -66,16 +68,24 @@
 			f.roster.Trouble(start.Add(time.Second))
 			f.remove(e)
 		}, dataOf(feed), carawaycart.VerdictForward, carawaycart.CauseNone},
-		{"owner drains", func(f *fleet, e carawaycart.EndpointID) { f.endpoint(e).Draining = true }, dataOf(feed),
-			carawaycart.VerdictForward, carawaycart.CauseNone},
-		{"zone out", func(f *fleet, e carawaycart.EndpointID) {
-			f.contents.ZonesOut = []carawaycart.ZoneID{f.endpoint(e).Zone}
-		}, dataOf(feed),
-			carawaycart.VerdictForward, carawaycart.CauseNone},
-		{"route dropped", func(f *fleet, _ carawaycart.EndpointID) { f.contents.Config.Routes = f.contents.Config.Routes[1:] }, dataOf(feed),
-			carawaycart.VerdictReset, carawaycart.CauseNoRoute},
-		{"same id started again", func(f *fleet, e carawaycart.EndpointID) { f.endpoint(e).Born++ }, dataOf(feed),
-			carawaycart.VerdictReset, carawaycart.CauseEnded},
+		{
+			"owner drains", func(f *fleet, e carawaycart.EndpointID) { f.endpoint(e).Draining = true }, dataOf(feed),
+			carawaycart.VerdictForward, carawaycart.CauseNone,
+		},
+		{
+			"zone out", func(f *fleet, e carawaycart.EndpointID) {
+				f.contents.ZonesOut = []carawaycart.ZoneID{f.endpoint(e).Zone}
+			}, dataOf(feed),
+			carawaycart.VerdictForward, carawaycart.CauseNone,
+		},
+		{
+			"route dropped", func(f *fleet, _ carawaycart.EndpointID) { f.contents.Config.Routes = f.contents.Config.Routes[1:] }, dataOf(feed),
+			carawaycart.VerdictReset, carawaycart.CauseNoRoute,
+		},
+		{
+			"same id started again", func(f *fleet, e carawaycart.EndpointID) { f.endpoint(e).Born++ }, dataOf(feed),
+			carawaycart.VerdictReset, carawaycart.CauseEnded,
+		},
 		{"no endpoint left", func(f *fleet, _ carawaycart.EndpointID) { f.contents.ZonesOut = f.zones }, func(carawaycart.Token) *carawaycart.Packet {
 			return first(2, feed)
 		}, carawaycart.VerdictReset, carawaycart.CauseNoEndpoint},
--- a/internal/demo/token.go
+++ b/internal/demo/token.go
@@ -154,7 +154,7 @@
 			r.kill(i)
 		}
 	}
-	r.Site.Close()
+	r.Close()
 }
 
 const awaitStep = 20 * time.Millisecond
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -152,7 +151,7 @@
 			rank++
 		}
 	}
-	slices.SortFunc(zones, func(a, b carawaycart.ZoneID) int { return cmp.Compare(a, b) })
+	slices.Sort(zones)
 	return time.Duration(min(slices.Index(zones, zone), maxZone))*zoneStep + time.Duration(min(rank, maxRank))*rankStep
 }
 
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -25,11 +25,13 @@
 
 // stuck is a writer that never returns until it is freed.
 type stuck struct {
-	free chan struct{}
+	free  chan struct{}
+	bytes int
 }
 
 func (s *stuck) Write(b []byte) (int, error) {
 	<-s.free
+	s.bytes += len(b)
 	return len(b), nil
 }
 
@@ -43,6 +45,9 @@
 	}
 	close(w.free)
 	l.Close()
+	if bound := 1 << 20; w.bytes > bound {
+		t.Errorf("got %d bytes held for a writer that stood still, want at most %d", w.bytes, bound)
+	}
 }
 
 func TestOmittedLinesAreCounted(t *testing.T) {
@@ -61,7 +66,7 @@
 	}
 }
 
-func TestNilLogTakesNothing(t *testing.T) {
+func TestNilLogTakesNothing(*testing.T) {
 	var l *eventlog.Log
 	l.Event("placed").Int("n", 1).Text("a", "b").End()
 	l.Close()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -148,7 +147,7 @@
 		case modeSilent, cut:
 			continue
 		}
-		if _, err := dst.Write(buf[:n]); err != nil && err != io.ErrShortWrite {
+		if _, err := dst.Write(buf[:n]); err != nil {
 			return
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,7 +59,7 @@
 		binary = filepath.Join(dir, "carawaycart")
 		out, err := exec.Command("go", "build", "-o", binary, "carawaycart/cmd/carawaycart").CombinedOutput()
 		if err != nil {
-			buildErr = fmt.Errorf("build: %v\n%s", err, out)
+			buildErr = fmt.Errorf("build: %w\n%s", err, out)
 		}
 	})
 	if buildErr != nil {
@@ -187,7 +187,7 @@
 	for _, p := range r.fronts {
 		p.close()
 	}
-	r.Site.Close()
+	r.Close()
 	if r.t.Failed() {
 		r.t.Log(strings.Join(r.events, "\n"))
 		for _, p := range r.processes {
