--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -180,8 +180,7 @@
 		return carawaycart.Decision{}, false
 	}
 	r.missed(f.endpoint, "first", f.sent, now)
-	f.tried = append(tried, f.tried...)
-	tried = append(tried, f.endpoint)
+	f.tried = append(f.tried, f.endpoint)
 	var e *endpoint
 	if route := t.routes[id.service]; route != nil && len(f.tried) < maxTried {
 		if to := r.target(route); to != nil {
