Learn of ended lifetimes from other zones; tell endpoints apart by their answer

With 3,002 hosts an instance compressed the same copy for each peer (busiest 33% of a core, configuration in force after 1.5 s).

Change: a starting instance asks an instance of another zone, at once and 2.5 s later; a probe checks the id that answers; the last encoded copy serves all peers that ask for the same.

--- a/internal/edge/courier.go
+++ b/internal/edge/courier.go
@@ -42,6 +42,7 @@
 	log       *eventlog.Log
 	router    *steer.Router
 	registrar *Registrar
+	copies    copyCache
 	done      sync.WaitGroup
 
 	mu       sync.Mutex
@@ -147,16 +148,22 @@
 	return same
 }
 
-// relays returns some instances of each other zone, those that rank highest for
-// this instance.
-func (c *Courier) relays(all []carawaycart.Registration) []carawaycart.Registration {
-	key := rendezvous.NewKey(string(c.self))
+// others returns the instances of other zones.
+func (c *Courier) others(all []carawaycart.Registration) []carawaycart.Registration {
 	var others []carawaycart.Registration
 	for _, r := range all {
 		if r.Zone != c.zone {
 			others = append(others, r)
 		}
 	}
+	return others
+}
+
+// relays returns some instances of each other zone, those that rank highest for
+// this instance.
+func (c *Courier) relays(all []carawaycart.Registration) []carawaycart.Registration {
+	key := rendezvous.NewKey(string(c.self))
+	others := c.others(all)
 	slices.SortFunc(others, func(a, b carawaycart.Registration) int {
 		score := func(r carawaycart.Registration) uint64 {
 			return rendezvous.Score(rendezvous.NewName(string(r.ID)), key)
@@ -286,6 +293,36 @@
 			ID: carawaycart.InstanceID(r.GetId()), Zone: carawaycart.ZoneID(r.GetZone()), PeerAddress: address,
 		})
 	}
-	copied, confirmed := c.view.Since(carawaycart.StoreRevision(r.GetRevision()))
-	return message.FromCopy(copied, max(c.clock.Now().Sub(confirmed), 0))
+	return c.copies.get(c.view, carawaycart.StoreRevision(r.GetRevision()), c.clock.Now())
+}
+
+// copyLife is how long an encoded copy serves all peers that ask for the same.
+const copyLife = 300 * time.Millisecond
+
+// copyCache keeps the copy that was encoded last: after a change, all peers of a
+// zone ask for the same one.
+type copyCache struct {
+	mu        sync.Mutex
+	since, at carawaycart.StoreRevision
+	confirmed time.Time
+	encoded   time.Time
+	reply     *message.DirectoryCopy
+}
+
+// get returns the copy for a peer that is whole at since.
+func (k *copyCache) get(v *View, since carawaycart.StoreRevision, now time.Time) (*message.DirectoryCopy, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.reply == nil || k.since != since || k.at != v.State().At || now.Sub(k.encoded) > copyLife {
+		copied, confirmed := v.Since(since)
+		reply, err := message.FromCopy(copied, 0)
+		if err != nil {
+			return nil, err
+		}
+		k.since, k.at, k.confirmed, k.encoded, k.reply = since, copied.At, confirmed, now, reply
+	}
+	age := max(now.Sub(k.confirmed), 0)
+	return &message.DirectoryCopy{
+		AtRevision: k.reply.GetAtRevision(), AgeMs: uint32(age.Milliseconds()), CompressedBody: k.reply.GetCompressedBody(),
+	}, nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,9 +86,7 @@
 	e.ready = newReadyServer(o.Ready, platform.ReadyPath, e.Ready)
 	e.operators = operator.NewServer(o.Operator, e, e.counters.Registry)
 	e.reader = NewReader(s, e.store, e.view, e.courier, e.registrar, clock, log)
-	if len(s.Seeds) > 0 {
-		go e.join(own)
-	}
+	go e.join(own)
 	log.Event("started").Text("zone", string(s.Zone)).Text("store", s.Store).End()
 	return e, nil
 }
@@ -96,42 +94,55 @@
 // joinPeriod is between tries to reach a seed; all instances may start at once.
 const joinPeriod = 50 * time.Millisecond
 
-// join asks the seeds for what they know until one has answered. Once the view is
-// known from the store, any peer of the zone does: it knows which lifetimes have
-// ended, and the store does not.
+// When peers are asked which lifetimes have ended. Hosts that lose power with
+// their zone come back within 1.5 s, and only then their old lifetimes end.
+const (
+	firstRemember = 100 * time.Millisecond
+	laterRemember = 2500 * time.Millisecond
+)
+
+// join asks the seeds for what they know until one has answered or the store has.
+// Peers of other zones are asked besides, now and a little later: the store keeps
+// nothing of lifetimes that have ended, whose flows still come, and the peers of
+// the own zone may have started at the same moment.
 func (e *Edge) join(own carawaycart.Registration) {
 	s := e.settings.Load()
-	for try := int(rand.Uint32() & math.MaxInt16); !e.stopping.Load(); try++ {
-		view := e.view.State()
-		address, ok := e.introducer(s, &view, try)
-		if !ok {
-			return
+	for try := int(rand.Uint32() & math.MaxInt16); len(s.Seeds) > 0 && e.view.State().Confirmed.IsZero() && !e.stopping.Load(); try++ {
+		seed := netip.AddrPortFrom(s.Seeds[try%len(s.Seeds)].Addr(), s.Peer.Port())
+		if seed == s.Peer {
+			break
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
-		joined := e.courier.Join(ctx, address, own)
-		cancel()
-		if joined {
+		if e.courier.Join(ctx, seed, own) {
 			e.registrar.Asked()
-			return
 		}
+		cancel()
 		time.Sleep(joinPeriod)
 	}
+	for _, wait := range []time.Duration{firstRemember, laterRemember} {
+		time.Sleep(wait)
+		if e.stopping.Load() {
+			return
+		}
+		e.remember()
+	}
 }
 
-// introducer returns whom to ask next, or false if there is nobody.
-func (e *Edge) introducer(s *settings.Settings, view *State, try int) (netip.AddrPort, bool) {
-	if !view.Confirmed.IsZero() {
-		peers := e.courier.neighbours(view.Instances)
-		if len(peers) == 0 {
-			return netip.AddrPort{}, false
-		}
-		return peers[try%len(peers)].PeerAddress, true
+// remember asks an instance of another zone, or of the own one if there is no
+// other.
+func (e *Edge) remember() {
+	instances := e.view.State().Instances
+	peers := e.courier.others(instances)
+	if len(peers) == 0 {
+		peers = e.courier.neighbours(instances)
 	}
-	if len(s.Seeds) == 0 {
-		return netip.AddrPort{}, false
+	if len(peers) == 0 {
+		return
 	}
-	seed := netip.AddrPortFrom(s.Seeds[try%len(s.Seeds)].Addr(), s.Peer.Port())
-	return seed, seed != s.Peer
+	p := peers[rand.IntN(len(peers))]
+	ctx, cancel := context.WithTimeout(context.Background(), fetchLimit)
+	defer cancel()
+	e.courier.Fetch(ctx, p.PeerAddress, string(p.ID))
 }
 
 // Reload takes in settings that were read again, or the reason why they could
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -9,6 +9,7 @@
 	"carawaycart"
 	"carawaycart/core/steer"
 	"carawaycart/internal/eventlog"
+	"carawaycart/platform"
 )
 
 const (
@@ -59,6 +60,7 @@
 	}
 	p.asking[key] = true
 	address := l.Address.String()
+	id := string(l.ID)
 	service := l.Service
 	token := p.router.Table().Token(key)
 	p.done.Go(func() {
@@ -69,7 +71,7 @@
 		}()
 		for period := probePeriod; ; period = min(2*period, maxProbe) {
 			began := p.clock.Now()
-			alive := p.ask("http://" + address + p.router.Table().HealthPath(service))
+			alive := p.ask("http://"+address+p.router.Table().HealthPath(service), id)
 			silent, news := p.router.Probed(key, alive, began, p.clock.Now())
 			if !silent {
 				return
@@ -86,8 +88,9 @@
 	})
 }
 
-// ask reports whether anything answers at url; what it answers does not matter.
-func (p *Prober) ask(url string) bool {
+// ask reports whether endpoint id answers at url; what it answers does not matter.
+// Another endpoint that has the address by now speaks for itself alone.
+func (p *Prober) ask(url, id string) bool {
 	ctx, cancel := context.WithTimeout(p.ctx, probeLimit)
 	defer cancel()
 	p.counters.Probes.Inc(1)
@@ -101,5 +104,6 @@
 		return false
 	}
 	_ = response.Body.Close()
-	return true
+	name := response.Header.Get(platform.EndpointHeader)
+	return name == "" || name == id
 }
