Take no overloaded host for a silent one

The host was overloaded; it answered first packets late, and a probe, whose answer waits for a slot, not within 150 ms.

Change: an endpoint that accepts the probe's connection is there, however late it answers, and two probes in a row must fail before it is silent.

Tests fail without the change.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -80,6 +80,7 @@
 	firstAvoidance = 500 * time.Millisecond
 	maxDoublings   = 3
 	doubtMisses    = 2 // in a row, after which the endpoint is probed
+	silentProbes   = 2 // in a row without an answer, after which it is silent
 )
 
 // record is what an instance has learnt of one lifetime.
@@ -89,6 +90,7 @@
 	waiting  int // requests that were not answered yet
 	open     int // flows known here
 	misses   int // first packets or requests in a row that went unanswered
+	probes   int // in a row that went unanswered
 	silent   bool
 	avoid    time.Time
 	answered time.Time
@@ -129,7 +131,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	doubt := r.misses > 0
-	r.misses, r.silent, r.avoid, r.answered = 0, false, time.Time{}, now
+	r.misses, r.probes, r.silent, r.avoid, r.answered = 0, 0, false, time.Time{}, now
 	return doubt
 }
 
@@ -149,20 +151,31 @@
 }
 
 // probed notes the outcome of a probe that began at began: the endpoint is
-// silent if it answered neither the probe nor anything else since.
+// silent if it answered neither two probes nor anything else since the first.
 func (r *record) probed(alive bool, began, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case alive:
 		changed = r.silent
-		r.misses, r.silent, r.avoid, r.answered = 0, false, time.Time{}, now
-	case !r.silent && !r.answered.After(began):
-		changed, r.silent = true, true
+		r.misses, r.probes, r.silent, r.avoid, r.answered = 0, 0, false, time.Time{}, now
+	case r.answered.After(began):
+		r.probes = 0
+	default:
+		r.probes++
+		changed = !r.silent && r.probes >= silentProbes
+		r.silent = r.silent || changed
 	}
 	return changed
 }
 
+// doubted reports whether the endpoint has to be probed again.
+func (r *record) doubted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent || r.probes > 0
+}
+
 // isSilent reports whether the endpoint answers nothing.
 func (r *record) isSilent() bool {
 	r.mu.Lock()
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -286,9 +286,8 @@
 }
 
 // Probed takes in the outcome of a probe that began at began. It reports whether
-// the endpoint is silent and should be probed again, and whether it was not
-// silent before.
-func (r *Router) Probed(key carawaycart.LifetimeKey, alive bool, began, now time.Time) (silent, news bool) {
+// the endpoint should be probed again, and whether it has just turned out silent.
+func (r *Router) Probed(key carawaycart.LifetimeKey, alive bool, began, now time.Time) (again, silent bool) {
 	t := r.table.Load()
 	if t == nil || t.byKey[key] == nil || t.byKey[key].presence == directory.Ended {
 		return false, false
@@ -298,8 +297,7 @@
 	if changed {
 		r.observer.Silenced(e.lifetime.ID, !alive)
 	}
-	silent = e.record.isSilent()
-	return silent, silent && changed
+	return e.record.doubted(), changed && !alive
 }
 
 // Doubt has the endpoint with token t probed, which answers a peer nothing.
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carawaycart"
@@ -13,9 +15,10 @@
 )
 
 const (
-	probeLimit  = 150 * time.Millisecond // for the answer to a probe; a round trip takes up to 45 ms between regions
-	probePeriod = 400 * time.Millisecond // between probes of a silent endpoint, doubled up to the next
-	maxProbe    = 1600 * time.Millisecond
+	probeLimit = 150 * time.Millisecond // for the answer to a probe; a round trip takes up to 45 ms between regions
+	// confirmPeriod is between the first two probes; it doubles up to maxProbe.
+	confirmPeriod = 100 * time.Millisecond
+	maxProbe      = 1600 * time.Millisecond
 )
 
 // Prober asks endpoints that left packets unanswered whether they are there.
@@ -69,14 +72,14 @@
 			delete(p.asking, key)
 			p.mu.Unlock()
 		}()
-		for period := probePeriod; ; period = min(2*period, maxProbe) {
+		for period := confirmPeriod; ; period = min(2*period, maxProbe) {
 			began := p.clock.Now()
 			alive := p.ask("http://"+address+p.router.Table().HealthPath(service), id)
-			silent, news := p.router.Probed(key, alive, began, p.clock.Now())
-			if !silent {
+			again, silent := p.router.Probed(key, alive, began, p.clock.Now())
+			if !again {
 				return
 			}
-			if news {
+			if silent {
 				p.tell(token)
 			}
 			select {
@@ -88,20 +91,23 @@
 	})
 }
 
-// ask reports whether endpoint id answers at url; what it answers does not matter.
-// Another endpoint that has the address by now speaks for itself alone.
+// ask reports whether endpoint id is there to answer at url. One that accepts the
+// connection is, even if it is too busy to answer in time; another endpoint that
+// has the address by now speaks for itself alone.
 func (p *Prober) ask(url, id string) bool {
 	ctx, cancel := context.WithTimeout(p.ctx, probeLimit)
 	defer cancel()
 	p.counters.Probes.Inc(1)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	request, err := http.NewRequestWithContext(traced, http.MethodGet, url, nil)
 	if err != nil {
 		p.log.Event("probeFailed").Err(err).End()
 		return true // an endpoint that cannot be asked is not condemned
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return false
+		return connected.Load()
 	}
 	_ = response.Body.Close()
 	name := response.Header.Get(platform.EndpointHeader)
--- a/internal/edge/prober_test.go
+++ b/internal/edge/prober_test.go
@@ -43,3 +43,14 @@
 		t.Error("got a closed port alive")
 	}
 }
+
+// A host that is overloaded accepts connections and answers late: it lives.
+func TestProbeOfABusyEndpoint(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer s.Close()
+	p := NewProber(carawaycart.NewSteadyClock(), NewCounters(), nil)
+	defer p.Close()
+	if !p.ask(s.URL, "i-1") {
+		t.Error("got an endpoint that accepts connections taken for dead")
+	}
+}
