--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -55,16 +55,17 @@
 			}
 			i := &instance{machine: m}
 			f.instances = append(f.instances, i)
-			f.start(t, i)
+			f.start(t, i, "")
 		}
 	}
 	f.await(t, "all instances are in rotation", func() bool { return s.Routers.Ready() == zones*perZone })
 	return f
 }
 
-func (f *fleet) start(t *testing.T, i *instance) {
+// start starts an instance; more is added to its settings.
+func (f *fleet) start(t *testing.T, i *instance, more string) {
 	t.Helper()
-	s, err := settings.Parse(i.machine.Name, []byte(f.Settings(i.machine)))
+	s, err := settings.Parse(i.machine.Name, []byte(f.Settings(i.machine)+more))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -206,7 +207,7 @@
 	f.served(t, 100)
 	f.kill(f.instances[0])
 	f.served(t, 150)
-	f.start(t, f.instances[0])
+	f.start(t, f.instances[0], "")
 	f.instances[3].edge.Stop() // as planned
 	f.instances[3].edge = nil
 	f.served(t, 150)
@@ -222,18 +223,7 @@
 	f.Store.SetFault("", standin.FaultSilent)
 	i := f.instances[0]
 	f.kill(i)
-	s, err := settings.Parse(i.machine.Name, []byte(f.Settings(i.machine)+"[peers]\nseeds = "+f.instances[1].machine.IP+":1\n"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	sockets, err := edge.Open(s)
-	if err != nil {
-		t.Fatal(err)
-	}
-	i.log = eventlog.New(s.ID, io.Discard)
-	if i.edge, err = edge.New(s, sockets, i.log); err != nil {
-		t.Fatal(err)
-	}
+	f.start(t, i, "[peers]\nseeds = "+f.instances[1].machine.IP+":1\n")
 	f.await(t, "the instance is ready without the store", i.edge.Ready)
 	f.served(t, 60)
 	f.check(t)
