Refuse new flows sooner under overload, by the classes that have traffic

Traced by the level of admission, logged each period: it took 1 s to reach 1, and by then nearly all feeds of the burst had opened their flows, whose requests can no longer be refused; routes without traffic that have a higher priority made orders the middle class, which was refused next. Change: a request counts as slow while it still waits, measured against what is usual; the level rises within 0.2 s and falls over seconds; classes are the priorities that have traffic; the most urgent are refused by their own late answers. Lines of kind overload say so. Half of what is lost in the bursts is feeds that opened their flows before the overload showed.

--- a/core/steer/admission.go
+++ b/core/steer/admission.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,35 +12,88 @@
 )
 
 const (
-	admissionPeriod = 100 * time.Millisecond // between changes of the level; a queue of a host turns over in about as long
-	patientPeriod   = 500 * time.Millisecond // for minAnswers to come in
-	minAnswers      = 8                      // a period needs so many to show an overload
-	lateShare       = 0.15                   // of the answers, above which the hosts have more than they can do
-	levelUp         = 0.15                   // added to the level after a period of overload
-	urgentUp        = 0.10                   // the same once all but the most urgent class are refused
-	levelDown       = 0.8                    // the level is multiplied by it after any other
-	minLevel        = 0.02                   // a lower level is none
-	maxRefused      = 0.95                   // of the most urgent class, so that an end of the overload shows
-	refusalSpan     = time.Second            // for which a caller is refused or admitted alike
+	slowPeriod    = 50 * time.Millisecond  // between changes of the level; a queue of a host turns over in about twice as long
+	latePeriod    = 200 * time.Millisecond // between changes of the urgent share; most answers take less
+	patientPeriod = 500 * time.Millisecond // after which a period ends with too few answers to tell anything
+	minSlow       = 5                      // a period needs so many answers to show an overload
+	minLate       = 8                      // the same for urgent requests
+
+	overloadShare = 0.35 // of slow answers, above which the hosts have more than they can do
+	calmShare     = 0.15 // of slow answers, below which they have less
+	slowMemory    = 0.5  // of the share of slow answers, from one period to the next
+	levelUp       = 0.15 // added to the level after a period of overload
+	levelGain     = 1.3  // added besides, times the share beyond overloadShare
+	levelDown     = 0.03 // taken off after a period without overload
+	calmDown      = 0.15 // taken off after a calm one
+
+	lateShare  = 0.4  // of late answers to urgent requests, above which some of those are refused too
+	urgentGain = 0.25 // added to their share, times the share beyond lateShare
+	urgentDown = 0.1  // taken off their share otherwise
+
+	maxRefused  = 0.95        // of the most urgent class, so that an end of the overload shows
+	refusalSpan = time.Second // for which a caller is refused or admitted alike
+	minTraffic  = 0.05        // of the new flows, for a class to count as the most urgent
+
+	usualGain    = 32   // an answer moves the usual time by 1/32 of the difference
+	arrivalDecay = 0.95 // of the count of new flows, from one period to the next
+	reportSpan   = time.Second
 )
 
 // Admission decides which new flows of a service are refused when its endpoints
 // cannot answer in time; it is safe for concurrent use.
 //
-// Its level rises while many answers take longer than the routes' targets and
-// falls otherwise. Of the least urgent requests it refuses a share equal to the
-// level; what exceeds one comes off the next class, and off the most urgent one
-// in smaller steps. A request that is refused at once leaves the queue
-// to those that can still be answered in time; see also M. Welsh and D. Culler,
-// "Adaptive Overload Control for Busy Internet Servers", USITS 2003.
+// A request is slow once it has waited for half of the time between the usual
+// answer and its target, answered or not. While many are slow, a growing share of
+// the new flows is refused, the least urgent first, as by F. Zhou et al., "Overload
+// Control for Scaling WeChat Microservices", SoCC 2018. The share rises quickly and
+// falls slowly: a long flow that is let in goes on sending, and cannot be refused
+// later. The most urgent requests are refused only if their own answers are late,
+// and in smaller steps.
 type Admission struct {
-	mu      sync.Mutex
-	level   float64
-	top     int       // the most urgent class
-	began   time.Time // the period
+	mu       sync.Mutex
+	slow     gauge
+	late     gauge   // of the most urgent requests
+	share    float64 // of slow answers, smoothed
+	level    float64 // share of the less urgent flows that is refused
+	urgent   float64 // share of the most urgent flows that is refused
+	classes  []class // the least urgent first
+	times    patience
+	reported time.Time
+	active   bool // as reported
+}
+
+// class is what is known of the requests of one priority.
+type class struct {
+	priority int           // zero is the most urgent
+	usual    time.Duration // of an answer while there is no overload
+	arrivals float64       // new flows lately
+	refused  float64       // share of new flows
+}
+
+// gauge measures the share of bad answers by periods.
+type gauge struct {
+	began   time.Time
 	answers int
-	late    int
-	times   patience // of answers
+	bad     int
+}
+
+func (g *gauge) add(bad bool) {
+	g.answers++
+	g.bad += one(bad)
+}
+
+// end ends the period at now if it has lasted long enough, and returns the share
+// of bad answers in it, zero if there were fewer than enough.
+func (g *gauge) end(now time.Time, period time.Duration, enough int) (share float64, ended bool) {
+	age := now.Sub(g.began)
+	if age < period || age < patientPeriod && g.answers < enough {
+		return 0, false
+	}
+	if g.answers >= enough {
+		share = float64(g.bad) / float64(g.answers)
+	}
+	*g = gauge{began: now}
+	return share, true
 }
 
 // patience returns how long an answer may usually take.
@@ -48,57 +103,140 @@
 	return a.times.limit(initialAnswerPatience, minAnswerPatience, maxAnswerPatience)
 }
 
+// class returns the class of priority.
+func (a *Admission) class(priority int) *class {
+	i, ok := slices.BinarySearchFunc(a.classes, priority, func(c class, p int) int { return cmp.Compare(p, c.priority) })
+	if !ok {
+		a.classes = slices.Insert(a.classes, i, class{priority: priority})
+	}
+	return &a.classes[i]
+}
+
+// allowance returns how long an answer to a request of c with the given target may
+// take before the request is slow.
+func (c *class) allowance(target time.Duration) time.Duration {
+	if c.usual == 0 || c.usual >= target {
+		return target
+	}
+	return c.usual + (target-c.usual)/2
+}
+
+// Allowance returns how long an answer to a request may take before the request
+// is slow.
+func (a *Admission) Allowance(priority int, target time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.class(priority).allowance(target)
+}
+
+// Slow notes that a request has waited for its Allowance at now.
+func (a *Admission) Slow(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.roll(now)
+	a.slow.add(true)
+}
+
 // Answered notes that an answer took as long as took, of a request that should
-// be answered within target.
-func (a *Admission) Answered(took, target time.Duration, now time.Time) {
+// be answered within target. Slow tells that Slow was called for it before.
+func (a *Admission) Answered(priority int, took, target time.Duration, slow bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.roll(now)
 	a.times.observe(took)
-	a.answers++
-	if took > target {
-		a.late++
+	c := a.class(priority)
+	if !slow {
+		a.slow.add(took > c.allowance(target))
+	}
+	if priority <= a.classes[a.top()].priority {
+		a.late.add(took > target)
+	}
+	switch {
+	case c.usual == 0:
+		c.usual = took
+	case a.level == 0:
+		c.usual += (took - c.usual) / usualGain
 	}
 }
 
-// roll ends the period if it is over at now.
+// roll ends the periods that are over at now.
 func (a *Admission) roll(now time.Time) {
-	age := now.Sub(a.began)
-	if age < admissionPeriod || age < patientPeriod && a.answers < minAnswers {
+	if late, ended := a.late.end(now, latePeriod, minLate); ended {
+		if late > lateShare {
+			a.urgent = min(a.urgent+urgentGain*(late-lateShare), maxRefused)
+		} else {
+			a.urgent = max(a.urgent-urgentDown, 0)
+		}
+	}
+	share, ended := a.slow.end(now, slowPeriod, minSlow)
+	if !ended {
 		return
 	}
-	if a.answers >= minAnswers && float64(a.late) > lateShare*float64(a.answers) {
-		a.level = a.raised()
-	} else if a.level *= levelDown; a.level < minLevel {
-		a.level = 0
+	a.share = slowMemory*a.share + (1-slowMemory)*share
+	switch {
+	case a.share > overloadShare:
+		a.level = min(a.level+levelUp+levelGain*(a.share-overloadShare), 1)
+	case a.share < calmShare:
+		a.level = max(a.level-calmDown, 0)
+	default:
+		a.level = max(a.level-levelDown, 0)
+	}
+	a.deal()
+	for i := range a.classes {
+		a.classes[i].arrivals *= arrivalDecay
 	}
-	a.answers, a.late, a.began = 0, 0, now
 }
 
-// raised returns the level after a period of overload.
-func (a *Admission) raised() float64 {
-	spared := float64(a.top)
-	if a.top > 0 && a.level >= spared {
-		return min(a.level+urgentUp, spared+maxRefused)
+// top returns the index of the most urgent class with traffic to speak of.
+func (a *Admission) top() int {
+	total := 0.0
+	for i := range a.classes {
+		total += a.classes[i].arrivals
 	}
-	if a.top == 0 {
-		return min(a.level+levelUp, maxRefused)
+	for i := len(a.classes) - 1; i > 0; i-- {
+		if a.classes[i].arrivals > minTraffic*total {
+			return i
+		}
 	}
-	return min(a.level+levelUp, spared)
+	return 0
 }
 
-// Refuses reports whether a new flow of caller is refused at now. Class is zero
-// for the least urgent requests of the service and rises to top.
-func (a *Admission) Refuses(caller carawaycart.FlowKey, class, top int, now time.Time) bool {
+// deal sets the share of each class that is refused.
+func (a *Admission) deal() {
+	if len(a.classes) == 0 {
+		return
+	}
+	top := a.top()
+	below := 0.0
+	for i := range top {
+		below += a.classes[i].arrivals
+	}
+	rest := a.level * below
+	for i := range a.classes {
+		c := &a.classes[i]
+		switch {
+		case i < top && c.arrivals > 0:
+			c.refused = min(rest/c.arrivals, 1)
+			rest = max(rest-c.arrivals, 0)
+		case i < top:
+			c.refused = 0
+		case below == 0:
+			c.refused = min(a.level, maxRefused)
+		default:
+			c.refused = a.urgent
+		}
+	}
+}
+
+// Refuses reports whether a new flow of caller, for requests of the given
+// priority, is refused at now.
+func (a *Admission) Refuses(caller carawaycart.FlowKey, priority int, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.top = top
 	a.roll(now)
-	share := min(a.level-float64(class), 1)
-	if share <= 0 {
-		return false
-	}
-	return lot(caller, now) < share
+	c := a.class(priority)
+	c.arrivals++
+	return c.refused > 0 && lot(caller, now) < c.refused
 }
 
 // lot returns a number from 0 to 1 that is the same for all flows of a caller
@@ -111,3 +249,24 @@
 	h ^= h >> 33
 	return float64(h>>11) / (1 << 53)
 }
+
+// Overload is how far new flows of a service are refused.
+type Overload struct {
+	Service carawaycart.ServiceID
+	Slow    float64 // share of the requests
+	Level   float64 // share of the less urgent flows that is refused
+	Urgent  float64 // share of the most urgent flows that is refused
+}
+
+// report returns the state at now, and whether observers should be told: when
+// refusals begin or end, and once in reportSpan between.
+func (a *Admission) report(now time.Time) (Overload, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	active := a.level > 0 || a.urgent > 0
+	if active == a.active && (!active || now.Sub(a.reported) < reportSpan) {
+		return Overload{}, false
+	}
+	a.active, a.reported = active, now
+	return Overload{Slow: a.share, Level: a.level, Urgent: a.urgent}, true
+}
--- a/core/steer/admission_test.go
+++ b/core/steer/admission_test.go
@@ -12,6 +12,11 @@
 
 var epoch = time.Unix(1000, 0)
 
+const (
+	feedPriority  = 2
+	orderPriority = 1
+)
+
 func caller(n int) carawaycart.FlowKey {
 	return carawaycart.FlowKey{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 1000)}
 }
@@ -20,8 +25,8 @@
 	a := &Admission{}
 	for n := range 1000 {
 		now := epoch.Add(time.Duration(n) * 5 * time.Millisecond)
-		a.Answered(50*time.Millisecond, 100*time.Millisecond, now)
-		if a.Refuses(caller(n), 0, 1, now) {
+		a.Answered(feedPriority, 50*time.Millisecond, 100*time.Millisecond, false, now)
+		if a.Refuses(caller(n), feedPriority, now) {
 			t.Fatalf("got caller %d refused", n)
 		}
 	}
@@ -29,18 +34,18 @@
 
 func TestAdmissionRefusesTheLeastUrgentFirst(t *testing.T) {
 	a := &Admission{}
-	refused := [2]int{}
-	for n := range 60 { // 0.6 s of late answers
+	refused := make(map[int]int)
+	for n := range 60 { // 0.6 s of late answers to feeds
 		now := epoch.Add(time.Duration(n) * 10 * time.Millisecond)
-		a.Answered(300*time.Millisecond, 100*time.Millisecond, now)
-		for class := range refused {
-			if a.Refuses(caller(n), class, 1, now) {
-				refused[class]++
+		a.Answered(feedPriority, 300*time.Millisecond, 100*time.Millisecond, false, now)
+		for _, priority := range []int{feedPriority, orderPriority} {
+			if a.Refuses(caller(n), priority, now) {
+				refused[priority]++
 			}
 		}
 	}
-	if refused[0] == 0 || refused[1] != 0 {
-		t.Errorf("got %d and %d refused, want some of the least urgent and none of the most", refused[0], refused[1])
+	if refused[feedPriority] == 0 || refused[orderPriority] != 0 {
+		t.Errorf("got %d feeds and %d orders refused, want some and none", refused[feedPriority], refused[orderPriority])
 	}
 }
 
@@ -49,15 +54,15 @@
 	now := epoch
 	for range 400 {
 		now = now.Add(10 * time.Millisecond)
-		a.Answered(300*time.Millisecond, 100*time.Millisecond, now)
-		a.Refuses(caller(1), 0, 1, now)
+		a.Answered(feedPriority, 300*time.Millisecond, 100*time.Millisecond, false, now)
+		a.Refuses(caller(1), feedPriority, now)
 	}
 	for range 300 {
 		now = now.Add(10 * time.Millisecond)
-		a.Answered(50*time.Millisecond, 100*time.Millisecond, now)
+		a.Answered(feedPriority, 50*time.Millisecond, 100*time.Millisecond, false, now)
 	}
 	for n := range 100 {
-		if a.Refuses(caller(n), 0, 1, now) {
+		if a.Refuses(caller(n), feedPriority, now) {
 			t.Fatalf("got caller %d refused 3 s after the overload", n)
 		}
 	}
@@ -69,27 +74,35 @@
 	now := epoch
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
-		a.Answered(300*time.Millisecond, 100*time.Millisecond, now)
+		a.Answered(feedPriority, 300*time.Millisecond, 100*time.Millisecond, false, now)
 	}
 	for range 20 {
 		now = now.Add(patientPeriod)
-		a.Refuses(caller(1), 0, 1, now)
+		a.Refuses(caller(1), feedPriority, now)
 	}
-	if a.Refuses(caller(2), 0, 1, now) {
+	if a.Refuses(caller(2), feedPriority, now) {
 		t.Error("got a caller refused 10 s after the last answer")
 	}
 }
 
 func TestRetriesOfACallerAreDecidedAlike(t *testing.T) {
-	a := &Admission{level: 0.5, began: epoch}
+	a := &Admission{
+		classes: []class{{priority: feedPriority, refused: 0.5}},
+		slow:    gauge{began: epoch}, late: gauge{began: epoch},
+	}
+	refused := 0
 	for n := range 200 {
 		k := caller(n)
-		want := a.Refuses(k, 0, 1, epoch)
+		want := a.Refuses(k, feedPriority, epoch)
+		refused += one(want)
 		k.Caller = netip.AddrPortFrom(k.Caller.Addr(), 2000)
-		if got := a.Refuses(k, 0, 1, epoch.Add(50*time.Millisecond)); got != want {
+		if got := a.Refuses(k, feedPriority, epoch.Add(40*time.Millisecond)); got != want {
 			t.Errorf("caller %d: got refused %t for its retry, want %t", n, got, want)
 		}
 	}
+	if refused == 0 || refused == 200 {
+		t.Errorf("got %d of 200 callers refused, want some", refused)
+	}
 }
 
 // queue is a model of the hosts of a service: slots that serve in order of
@@ -120,7 +133,10 @@
 }
 
 // answer is one that is on its way back.
-type answer struct{ asked, done, target time.Duration }
+type answer struct {
+	asked, done, target time.Duration
+	priority            int
+}
 
 // replay offers load to 28 slots for 6 s: orders worth 2 and feeds worth 1, each
 // on a new flow, and returns the share of the worth that is earned in time.
@@ -143,15 +159,16 @@
 	owed, earned := 0.0, 0.0
 	for at := time.Duration(0); at < span; at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
 		for len(underway) > 0 && underway[0].done <= at {
-			a.Answered(underway[0].done-underway[0].asked, underway[0].target, epoch.Add(underway[0].done))
+			u := underway[0]
+			a.Answered(u.priority, u.done-u.asked, u.target, false, epoch.Add(u.done))
 			underway = underway[1:]
 		}
-		worth, work, target, class := 1.0, feedWork, feedTarget, 0
+		worth, work, target, priority := 1.0, feedWork, feedTarget, feedPriority
 		if random.Float64() < orderShare {
-			worth, work, target, class = 2, orderWork, orderAim, 1
+			worth, work, target, priority = 2, orderWork, orderAim, orderPriority
 		}
 		owed += worth
-		if control && a.Refuses(caller(random.IntN(1<<16)), class, 1, epoch.Add(at)) {
+		if control && a.Refuses(caller(random.IntN(1<<16)), priority, epoch.Add(at)) {
 			continue
 		}
 		done, ok := q.serve(at, time.Duration(random.ExpFloat64()*float64(work)))
@@ -161,7 +178,7 @@
 		if done-at <= target {
 			earned += worth
 		}
-		underway = append(underway, answer{at, done, target})
+		underway = append(underway, answer{at, done, target, priority})
 	}
 	return earned / owed
 }
@@ -184,6 +201,126 @@
 	}
 }
 
+// longFlows is a replay of a burst on flows that stay open: each feed opens a flow
+// with its first request and then sends one a second, whatever the load; orders
+// come on new flows. Several instances see a part of the callers each.
+type longFlows struct {
+	random *rand.Rand
+	queue  *queue
+	fleet  []*Admission
+	due    map[int][]func(now time.Time) // by millisecond
+	owed   float64
+	earned float64
+}
+
+// ask sends a request at the given millisecond past a, and lets a know of the
+// answer, whose receipt shows later by acknowledged.
+func (l *longFlows) ask(a *Admission, ms, priority int, worth float64, work, target, acknowledged time.Duration) {
+	at := time.Duration(ms) * time.Millisecond
+	done, ok := l.queue.serve(at, time.Duration(l.random.ExpFloat64()*float64(work)))
+	if !ok {
+		done = at // rejected at once
+	} else if done-at <= target {
+		l.earned += worth
+	}
+	took := done - at + acknowledged
+	limit := a.Allowance(priority, target)
+	slow := took > limit
+	if slow {
+		l.at(at+limit, a.Slow)
+	}
+	l.at(at+took, func(now time.Time) { a.Answered(priority, took, target, slow, now) })
+}
+
+func (l *longFlows) at(when time.Duration, do func(time.Time)) {
+	ms := int(when / time.Millisecond)
+	l.due[ms] = append(l.due[ms], do)
+}
+
+// replayLongFlows returns the share of the worth that is earned in time during 6 s
+// of burst times the usual load, which takes 47% of the slots.
+func replayLongFlows(burst float64, control bool) float64 {
+	const (
+		instances, slots        = 14, 28
+		feeds, orders           = 320, 91 // a second
+		feedWork, orderWork     = 30 * time.Millisecond, 39 * time.Millisecond
+		feedTarget, orderTarget = 150 * time.Millisecond, 200 * time.Millisecond
+		feedReceipt, roundTrip  = 46 * time.Millisecond, 6 * time.Millisecond
+		queueLimit              = 130 * time.Millisecond
+		begin, end, sendPeriod  = 4000, 10000, 1000 // of the burst, and of a feed's requests, in milliseconds
+	)
+	l := &longFlows{
+		random: rand.New(rand.NewPCG(5, 5)), queue: &queue{free: make(finishTimes, slots), limit: queueLimit}, due: make(map[int][]func(time.Time)),
+	}
+	for range instances {
+		l.fleet = append(l.fleet, &Admission{})
+	}
+	type feed struct {
+		phase int // of the requests, in milliseconds
+		home  *Admission
+		open  bool
+	}
+	all := make([]feed, int(burst*feeds))
+	for i := range all {
+		all[i] = feed{phase: l.random.IntN(sendPeriod), home: l.fleet[l.random.IntN(instances)]}
+	}
+	for ms := range end {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for _, do := range l.due[ms] {
+			do(now)
+		}
+		if ms == begin {
+			l.owed, l.earned = 0, 0
+		}
+		n, perSecond := feeds, float64(orders)
+		if ms >= begin {
+			n, perSecond = len(all), burst*orders
+		}
+		for i := range all[:n] {
+			f := &all[i]
+			if ms%sendPeriod != f.phase {
+				continue
+			}
+			l.owed++
+			if !f.open && control && f.home.Refuses(caller(i), feedPriority, now) {
+				continue
+			}
+			f.open = true
+			l.ask(f.home, ms, feedPriority, 1, feedWork, feedTarget, feedReceipt)
+		}
+		for range poisson(l.random, perSecond/1000) {
+			l.owed += 2
+			a := l.fleet[l.random.IntN(instances)]
+			if control && a.Refuses(caller(l.random.IntN(1<<16)), orderPriority, now) {
+				continue
+			}
+			l.ask(a, ms, orderPriority, 2, orderWork, orderTarget, roundTrip)
+		}
+	}
+	return l.earned / l.owed
+}
+
+// poisson returns how many events happen where mean are expected.
+func poisson(r *rand.Rand, mean float64) int {
+	n := 0
+	for sum := r.ExpFloat64(); sum < mean; sum += r.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// The load pattern: a burst on flows that stay open. What is let in before the
+// overload shows cannot be refused later, so the level has to rise quickly.
+func TestAdmissionBeforeLongFlows(t *testing.T) {
+	for _, test := range []struct{ burst, want float64 }{{1.7, 0.97}, {2.6, 0.75}, {4, 0.45}} {
+		got, without := replayLongFlows(test.burst, true), replayLongFlows(test.burst, false)
+		if got < test.want {
+			t.Errorf("burst of %v: got %.3f of the worth in time, want at least %.2f (%.3f without refusals)", test.burst, got, test.want, without)
+		}
+		t.Logf("burst of %v: got %.3f of the worth in time (%.3f without refusals)", test.burst, got, without)
+	}
+}
+
 func TestPatience(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -27,11 +27,12 @@
 	phase    phase
 	waiting  bool // a request was sent and not answered
 	overdue  bool // waiting for longer than usual; counts neither as outstanding nor as open
+	slow     bool // noted as slow, while waiting
 	asked    time.Time
-	admitted *Admission    // of the service
-	target   time.Duration // for an answer
-	sequence uint32
-	acked    uint32
+
+	objective *objective // nil if it is not known which target the flow went to
+	sequence  uint32
+	acked     uint32
 }
 
 // phase is how far a flow has come.
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -68,13 +68,16 @@
 
 // await watches for the answer to the request that f was sent at now.
 func (r *Router) await(id flowID, f *flow, now time.Time) {
-	if f.admitted == nil {
+	if f.objective == nil {
 		return
 	}
+	a := f.objective.admission
+	slow, due := now.Add(a.Allowance(f.objective.priority, f.objective.answer)), now.Add(a.patience())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.awaited) < maxAwaited {
-		r.awaited = append(r.awaited, awaited{id: id, asked: now, due: now.Add(f.admitted.patience())})
+		r.slow = append(r.slow, awaited{id: id, asked: now, due: slow})
+		r.awaited = append(r.awaited, awaited{id: id, asked: now, due: due})
 	}
 }
 
@@ -84,6 +87,14 @@
 // What goes unanswered counts as outstanding for a while longer: an endpoint
 // that drops its requests would look idle otherwise, and draw more of them.
 func (r *Router) sweep(now time.Time) {
+	for a, ok := r.nextDue(&r.slow, now); ok; a, ok = r.nextDue(&r.slow, now) {
+		s := r.flows.shard(a.id)
+		if f := s.flows[a.id]; f != nil && f.waiting && f.asked.Equal(a.asked) {
+			f.slow = true
+			f.objective.admission.Slow(now)
+		}
+		s.mu.Unlock()
+	}
 	for a, ok := r.nextDue(&r.awaited, now); ok; a, ok = r.nextDue(&r.awaited, now) {
 		s := r.flows.shard(a.id)
 		if f := s.flows[a.id]; f != nil && f.waiting && f.asked.Equal(a.asked) {
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -29,6 +29,8 @@
 	Silenced(e carawaycart.EndpointID, silent bool)
 	// Failing is told that endpoints left requests unanswered.
 	Failing(outcomes []Outcomes)
+	// Overloaded is told that new flows of a service are refused, or no longer.
+	Overloaded(o Overload)
 	// Recovered is told that an avoided endpoint has answered.
 	Recovered(e carawaycart.EndpointID)
 }
@@ -45,6 +47,7 @@
 	random     *rand.Rand
 	candidates []Candidate
 	patience   map[carawaycart.ZoneID]*patience // by zone of the endpoint
+	slow       []awaited                        // not slow until due, nearly in that order
 	awaited    []awaited                        // nearly in order of due
 	overdue    []awaited                        // not answered when due; in order of the new due
 	failing    map[carawaycart.Token]*record    // to be reported
@@ -132,7 +135,12 @@
 	if to == nil {
 		return r.refuse(p, carawaycart.CauseNoEndpoint, true, t.Revision)
 	}
-	if to.admission.Refuses(p.Key, to.class, to.top, now) {
+	refused := to.objective.admission.Refuses(p.Key, to.objective.priority, now)
+	if o, changed := to.objective.admission.report(now); changed {
+		o.Service = to.service
+		r.observer.Overloaded(o)
+	}
+	if refused {
 		return r.refuse(p, carawaycart.CauseOverload, true, t.Revision)
 	}
 	e, cause := r.place(t, to, &p.Key, p.Copy, tried, now)
@@ -142,7 +150,7 @@
 	e.take(now)
 	f := &flow{
 		endpoint: e, opened: now, sent: now, last: now, sequence: p.Sequence,
-		admitted: to.admission, target: route.answerTime,
+		objective: to.objective,
 	}
 	if !s.put(id, f, now) {
 		e.record.adjust(-1, 0, 0)
@@ -330,7 +338,7 @@
 		}
 		f = &flow{endpoint: e, opened: now, phase: phaseOpen, acked: p.Acknowledged, sequence: p.Sequence - 1}
 		if len(via.targets) == 1 {
-			f.admitted, f.target = via.targets[0].admission, via.answerTime
+			f.objective = via.targets[0].objective
 		}
 		if !s.put(id, f, now) {
 			return
@@ -363,8 +371,8 @@
 			e.record.adjust(0, -one(!f.overdue), one(f.overdue))
 			f.waiting, f.overdue = false, false
 			e.record.outcome(0, 1, now)
-			if f.admitted != nil {
-				f.admitted.Answered(now.Sub(f.asked), f.target, now)
+			if o := f.objective; o != nil {
+				o.admission.Answered(o.priority, now.Sub(f.asked), o.answer, f.slow, now)
 			}
 		}
 	}
@@ -374,7 +382,7 @@
 	if int32(p.Sequence-f.sequence) > 0 {
 		f.sequence = p.Sequence
 		if !f.waiting {
-			f.waiting, f.asked = true, now
+			f.waiting, f.slow, f.asked = true, false, now
 			r.await(id, f, now)
 			e.record.adjust(0, 1, 0)
 		}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"slices"
 	"time"
 
 	"carawaycart"
@@ -27,15 +26,20 @@
 type route struct {
 	targets    []target
 	repeatable bool // its requests may run more than once
-	answerTime time.Duration
 }
 
 type target struct {
+	service   carawaycart.ServiceID
 	endpoints []*endpoint
 	weight    int
-	admission *Admission
-	class     int // of the route's requests among those of the service; zero is the least urgent
-	top       int // the most urgent class of the service
+	objective *objective
+}
+
+// objective is how soon requests should be answered, and what admits them.
+type objective struct {
+	admission *Admission // of the service
+	priority  int        // zero is the most urgent
+	answer    time.Duration
 }
 
 // Limits bound what cold endpoints are given.
@@ -152,28 +156,16 @@
 			services[l.Service] = append(services[l.Service], e)
 		}
 	}
-	priorities := make(map[carawaycart.ServiceID][]int)
-	for i := range c.Routes {
-		for _, to := range c.Routes[i].Targets {
-			priorities[to.Service] = append(priorities[to.Service], c.Routes[i].Priority)
-		}
-	}
-	for service, p := range priorities {
-		slices.Sort(p)
-		priorities[service] = slices.Compact(p)
-		if t.admissions[service] == nil {
-			t.admissions[service] = &Admission{}
-		}
-	}
 	for i := range c.Routes {
 		from := &c.Routes[i]
-		r := &route{repeatable: from.Kind == carawaycart.RequestSafe, answerTime: from.Target}
+		r := &route{repeatable: from.Kind == carawaycart.RequestSafe}
 		for _, to := range from.Targets {
-			p := priorities[to.Service]
-			rank, _ := slices.BinarySearch(p, from.Priority)
+			if t.admissions[to.Service] == nil {
+				t.admissions[to.Service] = &Admission{}
+			}
 			r.targets = append(r.targets, target{
-				endpoints: services[to.Service], weight: to.Weight,
-				admission: t.admissions[to.Service], class: len(p) - 1 - rank, top: len(p) - 1,
+				service: to.Service, endpoints: services[to.Service], weight: to.Weight,
+				objective: &objective{admission: t.admissions[to.Service], priority: from.Priority, answer: from.Target},
 			})
 		}
 		t.routes[pack(from.Address)] = r
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -57,6 +57,12 @@
 	o.log.Event("silent").Text("endpoint", string(e)).Bool("silent", silent).End()
 }
 
+// Overloaded logs how far new flows of a service are refused.
+func (o *observer) Overloaded(v steer.Overload) {
+	o.log.Event("overload").Text("service", string(v.Service)).Int("slowPercent", percent(v.Slow)).
+		Int("refusedPercent", percent(v.Level)).Int("urgentPercent", percent(v.Urgent)).End()
+}
+
 // Failing logs that endpoints left requests unanswered, and tells the zone.
 func (o *observer) Failing(outcomes []steer.Outcomes) {
 	for _, f := range outcomes {
@@ -65,6 +71,8 @@
 	o.courier.TellOutcomes(outcomes)
 }
 
+func percent(share float64) int64 { return int64(100 * share) }
+
 func one(b bool) int64 {
 	if b {
 		return 1
