--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -1,10 +1,12 @@
 package edge_test
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +24,26 @@
 	machine standin.Machine
 	edge    *edge.Edge
 	log     *eventlog.Log
+	lines   lines
+}
+
+// lines keeps what an instance logs, for tests that fail; it is safe for concurrent
+// use.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // fleet is a site with instances.
@@ -44,6 +66,9 @@
 				i.edge.Close()
 				i.log.Close()
 			}
+			if t.Failed() {
+				t.Logf("%s logged:\n%s", i.machine.Name, i.lines.String())
+			}
 		}
 		s.Close()
 	})
@@ -73,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	i.log = eventlog.New(s.ID, io.Discard)
+	i.log = eventlog.New(s.ID, &i.lines)
 	if i.edge, err = edge.New(s, sockets, i.log); err != nil {
 		t.Fatal(err)
 	}
