--- a/cmd/carawaycart/balancer.go
+++ b/cmd/carawaycart/balancer.go
@@ -77,7 +77,9 @@
 		return err
 	}
 	watch := settings.NewWatch(path, hangup, e.Reload)
+	trim := newTrimmer(trimPeriod)
 	<-ctx.Done()
+	trim.close()
 	watch.Close()
 	e.Stop()
 	return nil
