Learn what is usual from the first answers; take dark hosts for no overload

Traced by the level and the usual time, logged each period: the first answer an instance saw was a rejection after 8 ms, refusals froze what it took for usual at 13 ms, and normal answers of 60 ms counted as slow ever after. Ruled out: an overload that lasts (p50 of 24 ms while flows were refused). Change: the first 32 answers count by their mean, later ones also while flows are refused, more slowly; a request that waits counts as slow only if its endpoint has answered something since. TestAdmissionLearnsWhatIsUsual (451 of 475 refused before) and TestDarkEndpointsAreNoOverload (129) fail without.

--- a/core/steer/admission.go
+++ b/core/steer/admission.go
@@ -35,6 +35,7 @@
 	minTraffic  = 0.05        // of the new flows, for a class to count as the most urgent
 
 	usualGain    = 32   // an answer moves the usual time by 1/32 of the difference
+	refusingGain = 512  // the same while flows are refused, when answers are not usual
 	arrivalDecay = 0.95 // of the count of new flows, from one period to the next
 	reportSpan   = time.Second
 )
@@ -66,6 +67,7 @@
 type class struct {
 	priority int           // zero is the most urgent
 	usual    time.Duration // of an answer while there is no overload
+	answers  int           // that usual was learnt from, up to usualGain
 	arrivals float64       // new flows lately
 	refused  float64       // share of new flows
 }
@@ -151,12 +153,21 @@
 	if priority <= a.classes[a.top()].priority {
 		a.late.add(took > target)
 	}
+	c.learn(took, a.level > 0)
+}
+
+// learn takes in how long an answer took: the first ones by their mean, later ones
+// by an exponential average.
+func (c *class) learn(took time.Duration, refusing bool) {
+	gain := usualGain
 	switch {
-	case c.usual == 0:
-		c.usual = took
-	case a.level == 0:
-		c.usual += (took - c.usual) / usualGain
+	case c.answers < usualGain:
+		c.answers++
+		gain = c.answers
+	case refusing:
+		gain = refusingGain
 	}
+	c.usual += (took - c.usual) / time.Duration(gain)
 }
 
 // roll ends the periods that are over at now.
--- a/core/steer/admission_test.go
+++ b/core/steer/admission_test.go
@@ -68,6 +68,36 @@
 	}
 }
 
+// The load pattern: an instance starts while hosts still reject what a loss of all
+// instances left behind. What it takes for usual then must not make it refuse for
+// long after.
+func TestAdmissionLearnsWhatIsUsual(t *testing.T) {
+	const (
+		period     = 40 * time.Millisecond // between answers
+		rejections = 4                     // answers
+		settled    = 125                   // answers, in 5 s
+		answers    = 600
+	)
+	for _, rejected := range []time.Duration{3 * time.Millisecond, 8 * time.Millisecond, 48 * time.Millisecond} {
+		random := rand.New(rand.NewPCG(3, 3))
+		a := &Admission{}
+		now := epoch
+		refused := 0
+		for n := range answers {
+			now = now.Add(period)
+			took := 52*time.Millisecond + time.Duration(random.ExpFloat64()*float64(12*time.Millisecond))
+			if n < rejections {
+				took = rejected
+			}
+			a.Answered(feedPriority, took, 100*time.Millisecond, false, now)
+			refused += one(a.Refuses(caller(n), feedPriority, now) && n > settled)
+		}
+		if refused > (answers-settled)/100 {
+			t.Errorf("rejections after %v: got %d of %d refused, want hardly any", rejected, refused, answers-settled)
+		}
+	}
+}
+
 // Silence must not keep the level up: without answers nothing is known.
 func TestAdmissionForgetsWithoutAnswers(t *testing.T) {
 	a := &Admission{}
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -135,6 +135,13 @@
 	return doubt
 }
 
+// answeredSince reports whether the endpoint has answered anything since when.
+func (r *record) answeredSince(when time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered.After(when)
+}
+
 // miss notes that something sent at sent was unanswered at now, and returns how
 // long the endpoint is avoided, zero if an answer came since, and whether it is
 // to be probed.
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -90,8 +90,10 @@
 	for a, ok := r.nextDue(&r.slow, now); ok; a, ok = r.nextDue(&r.slow, now) {
 		s := r.flows.shard(a.id)
 		if f := s.flows[a.id]; f != nil && f.waiting && f.asked.Equal(a.asked) {
-			f.slow = true
-			f.objective.admission.Slow(now)
+			if f.endpoint.record.answeredSince(f.asked) {
+				f.slow = true
+				f.objective.admission.Slow(now)
+			}
 		}
 		s.mu.Unlock()
 	}
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -338,3 +338,53 @@
 		})
 	}
 }
+
+// The load pattern: half of the hosts go dark with requests under way. The others
+// have no more to do than before, so this is no overload.
+func TestDarkEndpointsAreNoOverload(t *testing.T) {
+	const (
+		flows  = 40
+		period = 250 * time.Millisecond // between the requests of a flow
+		tick   = 10 * time.Millisecond
+	)
+	f := newFleet(1, 4)
+	r := f.routers[0]
+	dark := func(e carawaycart.EndpointID) bool { return e == "i-01" || e == "i-03" }
+	type open struct {
+		packet    *carawaycart.Packet
+		endpoint  carawaycart.EndpointID
+		answer    time.Time // when the answer is acknowledged, or zero
+		lastAsked time.Time
+	}
+	var all []*open
+	for n := range flows {
+		d := mustForward(t, r.Decide(first(n, feed), start))
+		r.Decide(acknowledgement(n, feed, d.Token), start.Add(8*time.Millisecond))
+		p := request(n, feed, d.Token)
+		all = append(all, &open{packet: p, endpoint: d.Endpoint, lastAsked: start.Add(time.Duration(n) * period / flows)})
+	}
+	for at := tick; at < 4*time.Second; at += tick {
+		now := start.Add(at)
+		for _, o := range all {
+			if !o.answer.IsZero() && !now.Before(o.answer) {
+				o.answer = time.Time{}
+				o.packet.Acknowledged += 1000
+				a := *o.packet
+				a.Sequence, a.DataBytes = a.Sequence+200, 0
+				r.Decide(&a, now)
+			}
+			if now.Sub(o.lastAsked) >= period {
+				o.lastAsked = now
+				o.packet.Sequence += 200
+				if at < time.Second || !dark(o.endpoint) {
+					o.answer = now.Add(40 * time.Millisecond)
+				}
+				r.Decide(o.packet, now)
+			}
+		}
+		r.Decide(first(flows+int(at/tick), feed), now)
+	}
+	if n := f.events[0].refused[carawaycart.CauseOverload]; n > 0 {
+		t.Errorf("got %d new flows refused for overload, want none", n)
+	}
+}
