Let an instance that reaches nothing leave the rotation

Callers still reach the zone. Ruled out: serving on by hosts of the own zone (EVAC forbids it); leaving when all endpoints are silent alone (if all hosts are gone, other zones are no better off, and the rotation would be empty when they return). Change: an instance whose endpoints that may take flows are all silent, and whose view has not been renewed for 1.2 s by the store or by peers, answers that it is not ready; the routers then send the zone's packets to the nearest one. Line, alarm and state isolated; TestReachable, TestIsolatedInstanceIsNotReady.

--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -308,6 +308,26 @@
 	return e.record.doubted(), changed && !alive
 }
 
+// Reachable reports whether an endpoint that may take new flows is not silent, or
+// there is none that may.
+func (r *Router) Reachable() bool {
+	t := r.table.Load()
+	if t == nil {
+		return true
+	}
+	some := false
+	for _, e := range t.byKey {
+		if !t.takesFlows(e) {
+			continue
+		}
+		if !e.record.isSilent() {
+			return true
+		}
+		some = true
+	}
+	return !some
+}
+
 // Doubt has the endpoint with token t probed, which answers a peer nothing.
 func (r *Router) Doubt(token carawaycart.Token) {
 	t := r.table.Load()
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -339,6 +339,32 @@
 	}
 }
 
+// The load pattern: a zone is cut off from the endpoints of all others while its
+// own are to get nothing.
+func TestReachable(t *testing.T) {
+	f := newFleet(1, 4) // i-01 and i-03 in zone a
+	r := f.routers[0]
+	silence := func(id carawaycart.EndpointID) {
+		for range 2 {
+			r.Probed(f.endpoint(id).Key(), false, start, start.Add(time.Second))
+		}
+	}
+	silence("i-02")
+	silence("i-04")
+	if !r.Reachable() {
+		t.Error("got no endpoint reachable while those of zone a are")
+	}
+	f.contents.ZonesOut = []carawaycart.ZoneID{"a"}
+	f.learn(start)
+	if r.Reachable() {
+		t.Error("got an endpoint reachable, want none: zone a is out, the others are silent")
+	}
+	r.Probed(f.endpoint("i-04").Key(), true, start, start.Add(2*time.Second))
+	if !r.Reachable() {
+		t.Error("got no endpoint reachable after one has answered")
+	}
+}
+
 // The load pattern: half of the hosts go dark with requests under way. The others
 // have no more to do than before, so this is no overload.
 func TestDarkEndpointsAreNoOverload(t *testing.T) {
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -151,9 +151,8 @@
 func (t *Table) addRoutes(c *carawaycart.RouteConfig) {
 	services := make(map[carawaycart.ServiceID][]*endpoint)
 	for _, e := range t.byKey {
-		l := &e.lifetime
-		if e.presence != directory.Ended && !l.Draining && !t.zones[l.Zone] {
-			services[l.Service] = append(services[l.Service], e)
+		if t.takesFlows(e) {
+			services[e.lifetime.Service] = append(services[e.lifetime.Service], e)
 		}
 	}
 	for i := range c.Routes {
@@ -172,6 +171,11 @@
 	}
 }
 
+// takesFlows reports whether e may take new flows.
+func (t *Table) takesFlows(e *endpoint) bool {
+	return e.presence != directory.Ended && !e.lifetime.Draining && !t.zones[e.lifetime.Zone]
+}
+
 // Complete reports whether packets can be decided by t.
 func (t *Table) Complete() bool { return t != nil && t.Version != 0 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,6 +51,7 @@
 	operators *operator.Server
 
 	stopping atomic.Bool
+	isolated atomic.Bool // as logged
 	last     atomic.Int64
 }
 
@@ -163,8 +164,27 @@
 	e.log.Event("reloaded").Text("store", s.Store).Bool("restartNeeded", restart).End()
 }
 
-// Ready reports whether the fabric may send packets.
-func (e *Edge) Ready() bool { return !e.stopping.Load() && e.router.Table().Complete() }
+// isolatedAge is the age of the view above which nothing is heard from outside
+// the zone; peers or the own reads renew it about each 0.6 s.
+const isolatedAge = 1200 * time.Millisecond
+
+// Ready reports whether the fabric may send packets. An instance that is cut off
+// from every endpoint, from the store and from all that read it asks for none, so
+// that the instances of another zone are sent them.
+func (e *Edge) Ready() bool {
+	return !e.stopping.Load() && e.router.Table().Complete() && !e.Isolated()
+}
+
+// Isolated reports whether the instance can reach neither an endpoint that may
+// take new flows nor, by itself or through peers, the store.
+func (e *Edge) Isolated() bool {
+	age := e.clock.Now().Sub(e.view.State().Confirmed)
+	isolated := age > isolatedAge && !e.router.Reachable()
+	if e.isolated.Swap(isolated) != isolated {
+		e.log.Event("isolated").Bool("isolated", isolated).Millis("viewAgeMs", age).End()
+	}
+	return isolated
+}
 
 // Stop ends the instance as planned: it goes on forwarding until the fabric has
 // turned to others or the grace time is nearly over.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -254,6 +254,31 @@
 	f.check(t)
 }
 
+// An instance that reaches nothing leaves the rotation, so that other zones are
+// sent its packets, and comes back.
+func TestIsolatedInstanceIsNotReady(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2, 1)
+	f.BeginLoad(2, 20)
+	f.served(t, 30)
+	for _, h := range f.Hosts {
+		h.Set(standin.Unreachable)
+	}
+	f.served(t, 60)
+	if e := f.instances[0].edge; !e.Ready() {
+		t.Error("got an instance not ready that reaches the store, so other zones are no better off")
+	}
+	f.Store.SetFault("", standin.FaultSilent)
+	f.await(t, "the isolated instance is out of rotation", func() bool { return f.Routers.Ready() == 0 })
+	if s := f.instances[0].edge.Status(); s.State != "isolated" || len(s.Alarms) == 0 {
+		t.Errorf("got state %s, alarms %q, want isolated and an alarm", s.State, s.Alarms)
+	}
+	f.Hosts[0].Set(standin.Well)
+	f.await(t, "it is back", func() bool { return f.Routers.Ready() == 1 })
+	f.served(t, 30)
+	f.check(t)
+}
+
 // Operators ask a running instance.
 func TestStatusMetricsAndExplanation(t *testing.T) {
 	t.Parallel()
--- a/internal/edge/explainer.go
+++ b/internal/edge/explainer.go
@@ -37,6 +37,8 @@
 	switch {
 	case e.stopping.Load():
 		return carawaycart.MemberLeft.String()
+	case e.Isolated():
+		return "isolated"
 	case e.Ready():
 		return carawaycart.MemberReady.String()
 	}
@@ -48,6 +50,9 @@
 		return []string{"the store has not been read"}
 	}
 	var alarms []string
+	if e.Isolated() {
+		alarms = append(alarms, "neither an endpoint nor the store can be reached; other zones are sent the packets")
+	}
 	if age := now.Sub(view.Confirmed); age > staleLimit {
 		alarms = append(alarms, fmt.Sprintf("the view is %v old", age.Round(time.Millisecond)))
 	}
