--- a/cmd/carawaycart/operator.go
+++ b/cmd/carawaycart/operator.go
@@ -34,6 +34,7 @@
 	fabric   string
 	operator string
 	output   string
+	dryRun   bool
 }
 
 func (f *storeFlags) register(flags *flag.FlagSet) {
@@ -42,6 +43,7 @@
 		"`format` of the packets, geneve or token: with token, the store is the users' platform's (default $CARAWAYCART_FABRIC)")
 	flags.StringVar(&f.operator, "operator", defaultOperator(), "operator's `name` for the audit trail")
 	flags.StringVar(&f.output, "output", "table", "`format` of the output, table or json")
+	flags.BoolVar(&f.dryRun, "dry-run", false, "check a change against the latest configuration and show it, without making it")
 }
 
 func defaultOperator() string {
@@ -57,6 +59,7 @@
 	admin  *admin.Admin
 	stdout io.Writer
 	json   bool
+	dryRun bool
 }
 
 func (f *storeFlags) session(stdout io.Writer) (*session, error) {
@@ -80,9 +83,11 @@
 		return nil, usagef("-fabric %q (want geneve or token)", f.fabric)
 	}
 	log := platform.NewChangeLog(store, clock)
-	return &session{
-		log: log, admin: admin.NewAdmin(log, carawaycart.OperatorName(f.operator), clock), stdout: stdout, json: f.output == "json",
-	}, nil
+	changes := admin.NewAdmin(log, carawaycart.OperatorName(f.operator), clock)
+	if f.dryRun {
+		changes = changes.DryRun()
+	}
+	return &session{log: log, admin: changes, stdout: stdout, json: f.output == "json", dryRun: f.dryRun}, nil
 }
 
 // action is what a command does in a session.
@@ -110,7 +115,7 @@
 	})
 }
 
-// accepted tells which change was accepted.
+// accepted tells which change was accepted, or would be.
 func (s *session) accepted(c carawaycart.Change, err error) error {
 	if err != nil {
 		return errors.Annotate(err, "nothing was accepted")
@@ -118,6 +123,11 @@
 	if s.json {
 		return s.writeJSON(c)
 	}
+	if s.dryRun {
+		_, err = fmt.Fprintf(s.stdout, "would be accepted as revision %d: %s %s\nbefore: %s\nafter:  %s\n",
+			c.Revision, c.Kind, c.Name, cmp.Or(string(c.Before), "none"), cmp.Or(string(c.After), "none"))
+		return err
+	}
 	_, err = fmt.Fprintf(s.stdout, "accepted as revision %d: %s %s (change %s)\n", c.Revision, c.Kind, c.Name, c.ID)
 	return err
 }
--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -47,8 +47,9 @@
 func (e *events) Doubted(l *carawaycart.Lifetime)                       { e.doubted = append(e.doubted, l.ID) }
 func (e *events) Silenced(id carawaycart.EndpointID, silent bool)       { e.silenced[id] = silent }
 func (e *events) Failing(o []steer.Outcomes)                            { e.failing = append(e.failing, o...) }
-func (e *events) Overloaded(o steer.Overload)                           { e.overloads = append(e.overloads, o) }
-func (e *events) Recovered(carawaycart.EndpointID)                      {}
+
+func (e *events) Overloaded(o steer.Overload)      { e.overloads = append(e.overloads, o) }
+func (e *events) Recovered(carawaycart.EndpointID) {}
 
 // fleet is a set of routers that share one view of the store.
 type fleet struct {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,6 +17,7 @@
 	log      *platform.ChangeLog
 	operator carawaycart.OperatorName
 	clock    carawaycart.Clock
+	dry      bool
 }
 
 // NewAdmin returns an Admin that changes the configuration in log.
@@ -24,6 +25,14 @@
 	return &Admin{log: log, operator: operator, clock: clock}
 }
 
+// DryRun returns an Admin that checks the changes it is asked for against the
+// latest configuration and makes none.
+func (a *Admin) DryRun() *Admin {
+	dry := *a
+	dry.dry = true
+	return &dry
+}
+
 // Put creates or replaces the object of a kind and name.
 func (a *Admin) Put(ctx context.Context, kind carawaycart.ObjectKind, name string, object any) (carawaycart.Change, error) {
 	data, err := json.Marshal(object)
@@ -47,7 +56,11 @@
 func (a *Admin) edit(ctx context.Context, kind carawaycart.ObjectKind, name string,
 	update func(json.RawMessage) (json.RawMessage, error),
 ) (carawaycart.Change, error) {
-	return a.log.Append(ctx, platform.Edit{Operator: a.operator, Kind: kind, Name: name, Update: update})
+	edit := platform.Edit{Operator: a.operator, Kind: kind, Name: name, Update: update}
+	if a.dry {
+		return a.log.Check(ctx, edit)
+	}
+	return a.log.Append(ctx, edit)
 }
 
 // modify decodes the present object, lets change alter it, and writes it back.
--- a/internal/balancer/sockets.go
+++ b/internal/balancer/sockets.go
@@ -1,15 +1,11 @@
 package balancer
 
 import (
-	"context"
 	"net"
 	"net/netip"
-	"syscall"
-
-	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"carawaycart/internal/settings"
+	"carawaycart/io/socket"
 )
 
 // udpBuffer is the size of a UDP socket's receive buffer in bytes; a burst that
@@ -41,15 +37,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if o.Fabric, err = listenUDP(s.Fabric, "fabric"); err != nil {
+	if o.Fabric, err = socket.ListenUDP(s.Fabric, "fabric", udpBuffer); err != nil {
 		o.Close()
 		return nil, err
 	}
-	if o.Request, err = listen(s.Request, "request"); err != nil {
+	if o.Request, err = socket.Listen(s.Request, "request"); err != nil {
 		o.Close()
 		return nil, err
 	}
-	if o.Operator, err = listen(s.Operator, "operator"); err != nil {
+	if o.Operator, err = socket.Listen(s.Operator, "operator"); err != nil {
 		o.Close()
 		return nil, err
 	}
@@ -59,36 +55,17 @@
 // openPeer opens the TCP and UDP sockets for peers with one port number.
 func (o *Sockets) openPeer(a netip.AddrPort) error {
 	var err error
-	if o.Peer, err = listen(a, "peer"); err != nil {
+	if o.Peer, err = socket.Listen(a, "peer"); err != nil {
 		return err
 	}
 	port := o.Peer.Addr().(*net.TCPAddr).AddrPort().Port()
-	if o.Relay, err = listenUDP(netip.AddrPortFrom(a.Addr(), port), "peer"); err != nil {
+	if o.Relay, err = socket.ListenUDP(netip.AddrPortFrom(a.Addr(), port), "peer", udpBuffer); err != nil {
 		_ = o.Peer.Close()
 		o.Peer = nil
 	}
 	return err
 }
 
-func listen(a netip.AddrPort, name string) (net.Listener, error) {
-	l, err := net.Listen("tcp", a.String())
-	return l, errors.Annotatef(err, "listen for %s", name)
-}
-
-func listenUDP(a netip.AddrPort, name string) (*net.UDPConn, error) {
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			// The kernel caps the size silently, so a failure changes nothing.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, udpBuffer)
-		})
-	}}
-	conn, err := config.ListenPacket(context.Background(), "udp", a.String())
-	if err != nil {
-		return nil, errors.Annotatef(err, "listen for %s", name)
-	}
-	return conn.(*net.UDPConn), nil
-}
-
 // Close closes the sockets that are open.
 func (o *Sockets) Close() {
 	for _, l := range []net.Listener{o.Peer, o.Request, o.Operator} {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"carawaycart/io/fabric"
 	"carawaycart/io/operator"
 	"carawaycart/io/peer"
+	"carawaycart/io/socket"
 	"carawaycart/platform"
 )
 
@@ -235,28 +236,18 @@
 func Open(s settings.Settings) (*Sockets, error) {
 	o := &Sockets{}
 	var err error
-	if o.Fabric, err = listenUDP(s.Fabric, "fabric"); err != nil {
+	if o.Fabric, err = socket.ListenUDP(s.Fabric, "fabric", 0); err != nil {
 		return nil, err
 	}
-	if o.News, err = listenUDP(s.Peer, "peer"); err != nil {
+	if o.News, err = socket.ListenUDP(s.Peer, "peer", 0); err != nil {
 		return nil, err
 	}
-	if o.Peer, err = listen(s.Peer, "peer"); err != nil {
+	if o.Peer, err = socket.Listen(s.Peer, "peer"); err != nil {
 		return nil, err
 	}
-	if o.Ready, err = listen(s.Ready, "ready"); err != nil {
+	if o.Ready, err = socket.Listen(s.Ready, "ready"); err != nil {
 		return nil, err
 	}
-	o.Operator, err = listen(s.Operator, "operator")
+	o.Operator, err = socket.Listen(s.Operator, "operator")
 	return o, err
 }
-
-func listen(a netip.AddrPort, name string) (net.Listener, error) {
-	l, err := net.Listen("tcp", a.String())
-	return l, errors.Annotatef(err, "listen for %s", name)
-}
-
-func listenUDP(a netip.AddrPort, name string) (*net.UDPConn, error) {
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
-	return c, errors.Annotatef(err, "listen for %s", name)
-}
--- a/io/platform/changelog.go
+++ b/io/platform/changelog.go
@@ -153,6 +153,22 @@
 	return l.AppendAfter(ctx, c, edit)
 }
 
+// Check returns the change that Append would make of edit, and the error that it
+// would give for the latest configuration, without writing anything.
+func (l *ChangeLog) Check(ctx context.Context, edit Edit) (carawaycart.Change, error) {
+	c, err := l.Latest(ctx)
+	if err != nil {
+		return carawaycart.Change{}, err
+	}
+	change, err := l.change(c, edit)
+	if err != nil {
+		return carawaycart.Change{}, err
+	}
+	change.Revision = c.Revision + 1
+	_, err = c.Apply(change)
+	return change, err
+}
+
 // AppendAfter is like Append for a caller that holds configuration c, which may
 // be older than the latest.
 func (l *ChangeLog) AppendAfter(ctx context.Context, c *config.Configuration, edit Edit) (carawaycart.Change, error) {
--- /dev/null
+++ b/io/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket opens the listening sockets of an instance.
+package socket
--- /dev/null
+++ b/io/socket/socket.go
@@ -0,0 +1,40 @@
+package socket
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+)
+
+// Listen returns a listener for TCP connections at a; name says what for in errors.
+func Listen(a netip.AddrPort, name string) (net.Listener, error) {
+	l, err := net.Listen("tcp", a.String())
+	return l, errors.Annotatef(err, "listen for %s", name)
+}
+
+// ListenUDP returns a UDP socket at a whose receive buffer has the given number of
+// bytes, or the kernel's default for zero; name says what for in errors.
+func ListenUDP(a netip.AddrPort, name string, buffer int) (*net.UDPConn, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		if buffer == 0 {
+			return nil
+		}
+		return raw.Control(func(fd uintptr) {
+			// The kernel caps the size silently, so a failure changes nothing.
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, buffer)
+		})
+	}}
+	network := "udp6"
+	if a.Addr().Is4() {
+		network = "udp4"
+	}
+	conn, err := config.ListenPacket(context.Background(), network, a.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for %s", name)
+	}
+	return conn.(*net.UDPConn), nil
+}
