--- a/core/steer/admission.go
+++ b/core/steer/admission.go
@@ -42,7 +42,7 @@
 	usualSpan    = 5 * time.Second  // over which the usual time is averaged
 	refusingSpan = 30 * time.Second // the same for longer answers while flows are refused
 	arrivalDecay = 0.95             // of the count of new flows, from one period to the next
-	reportSpan   = time.Second
+	reportSpan   = time.Second      // between reports of an overload that lasts
 )
 
 // Admission decides which new flows of a service are refused when its endpoints
