Let silence of an endpoint expire with its evidence

Cause: the belief that an endpoint is silent was lifted only by a probe, and probes cease when the lifetime ends. Change: silence is valid for as long as the next probe may take (1.6 s and 0.4 s). After that the endpoint is avoided, keeps its flows, and whoever meets it asks for a probe. An entry that returns makes the silence outdated at once. Ruled out: probing ended lifetimes on (70 s of probes to dead hosts on each instance).

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -58,7 +58,10 @@
 		Outstanding: s.opening + s.waiting, Open: s.open, RequestSlots: e.lifetime.RequestSlots,
 		SameZone: e.lifetime.Zone == zone, Lapsed: e.presence == directory.Lapsed,
 		Avoided: s.timeouts > 0 && (now.Before(s.avoidUntil) || s.opening > 0),
-		Silent:  s.silent, Failing: s.outcomeCounts.failing(now),
+		Silent: s.isSilentLocked(now), Failing: s.outcomeCounts.failing(now),
+	}
+	if s.silent && !c.Silent {
+		c.Avoided, c.silenceOutdated = true, true
 	}
 	c.Cold = now.Before(e.warmupUntil)
 	if now.Before(e.coldUntil) {
@@ -91,6 +94,11 @@
 	maxAvoidanceDoublings    = 3
 	timeoutsBeforeProbe      = 2 // consecutive timeouts after which the endpoint is probed
 	failedProbesBeforeSilent = 2 // consecutive failed probes after which the endpoint is silent
+
+	// MaxProbePeriod is the longest time between two probes of a silent endpoint.
+	MaxProbePeriod = 1600 * time.Millisecond
+	// SilenceSlack covers the time that a probe takes, with delays of its sender.
+	SilenceSlack = 400 * time.Millisecond
 )
 
 // state holds what an instance has observed of one lifetime of an endpoint. It is safe
@@ -102,7 +110,8 @@
 	open            int           // number of tracked open flows, except those whose request was abandoned
 	timeouts        int           // number of timeouts of first packets or requests since the last answer
 	failedProbes    int           // number of probes that failed since the last answer
-	silent          bool          // whether the endpoint answers neither packets nor probes
+	silent          bool          // whether the endpoint answered neither packets nor probes; see isSilent
+	probeFailedAt   time.Time     // when the last probe failed
 	avoidUntil      time.Time     // end of the avoidance after the last timeout; zero after an answer
 	answeredAt      time.Time     // when the endpoint last answered
 	recentColdFlows []time.Time   // when the latest flows were forwarded to it while cold
@@ -167,7 +176,7 @@
 	period = minAvoidance << min(s.timeouts, maxAvoidanceDoublings)
 	s.timeouts++
 	s.avoidUntil = now.Add(period)
-	return period, s.timeouts >= timeoutsBeforeProbe && !s.silent
+	return period, s.timeouts >= timeoutsBeforeProbe && !s.isSilentLocked(now)
 }
 
 // recordProbe records at now the outcome of a probe that began at began; alive tells
@@ -185,6 +194,7 @@
 		s.failedProbes = 0
 	default:
 		s.failedProbes++
+		s.probeFailedAt = now
 		changed = !s.silent && s.failedProbes >= failedProbesBeforeSilent
 		s.silent = s.silent || changed
 	}
@@ -199,11 +209,29 @@
 	return s.silent || s.failedProbes > 0
 }
 
-// isSilent reports whether the endpoint answers neither packets nor probes.
-func (s *state) isSilent() bool {
+// isSilent reports whether the endpoint answers neither packets nor probes at now. It
+// does not rely on the next probe to end the silence: probes cease when the lifetime
+// ends, and the lifetime may return. Silence whose last failed probe is older than the
+// time to the next one is therefore outdated, and the endpoint has to be probed again.
+func (s *state) isSilent(now time.Time) (silent, outdated bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.silent
+	silent = s.isSilentLocked(now)
+	return silent, s.silent && !silent
+}
+
+// outdateSilence makes the silence of the endpoint, if any, outdated, and reports whether
+// the endpoint has to be probed.
+func (s *state) outdateSilence() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probeFailedAt = time.Time{}
+	return s.silent || s.failedProbes > 0
+}
+
+// isSilentLocked is like isSilent, but s.mu must be held.
+func (s *state) isSilentLocked(now time.Time) bool {
+	return s.silent && now.Sub(s.probeFailedAt) <= MaxProbePeriod+SilenceSlack
 }
 
 // adjustCounts adds the arguments to the counts of the same names.
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -82,8 +82,20 @@
 	}
 }
 
-// SetTable replaces the table on which decisions are based.
-func (r *Router) SetTable(t *Table) { r.table.Store(t) }
+// SetTable replaces the table on which decisions are based. Endpoints whose entries have
+// returned since the table before are alive, so those that were silent are probed again.
+func (r *Router) SetTable(t *Table) {
+	previous := r.table.Swap(t)
+	if t == nil || previous == nil {
+		return
+	}
+	for key, e := range t.byKey {
+		old := previous.byKey[key]
+		if old != nil && old.presence != directory.Present && e.presence == directory.Present && e.state.outdateSilence() {
+			r.observer.ProbeRequested(&e.lifetime)
+		}
+	}
+}
 
 // Table returns the current table, or nil if none was set.
 func (r *Router) Table() *Table { return r.table.Load() }
@@ -111,13 +123,23 @@
 		return r.refuse(p, carawaycart.CauseUnknownToken, false, t.Revision)
 	case e.presence == directory.Ended:
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
-	case p.PayloadBytes > 0 && route.repeatable && e.state.isSilent():
+	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now):
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
 	}
 	r.trackPacket(id, p, route, e, now)
 	return forward(e)
 }
 
+// checkSilent reports whether e is silent at now. It requests a probe if the silence is
+// outdated.
+func (r *Router) checkSilent(e *endpoint, now time.Time) bool {
+	silent, outdated := e.state.isSilent(now)
+	if outdated {
+		r.observer.ProbeRequested(&e.lifetime)
+	}
+	return silent
+}
+
 func forward(e *endpoint) carawaycart.Decision {
 	return carawaycart.Decision{
 		Verdict: carawaycart.VerdictForward, Endpoint: e.lifetime.ID, Zone: e.lifetime.Zone,
@@ -257,6 +279,9 @@
 		c := e.candidate(r.zone, now)
 		c.Tried = isTried(tried, e)
 		full, silent = full || c.AtColdLimit, silent || c.Silent
+		if c.silenceOutdated {
+			r.observer.ProbeRequested(&e.lifetime)
+		}
 		r.candidates = append(r.candidates, c)
 	}
 	i := Choose(r.candidates, r.random.IntN)
@@ -348,9 +373,9 @@
 	return e.state.needsProbe(), changed && !alive
 }
 
-// Reachable reports whether at least one endpoint that may take new flows is not silent.
-// It is also true if no endpoint may take new flows, or without a table.
-func (r *Router) Reachable() bool {
+// Reachable reports whether at least one endpoint that may take new flows is not silent
+// at now. It is also true if no endpoint may take new flows, or without a table.
+func (r *Router) Reachable(now time.Time) bool {
 	t := r.table.Load()
 	if t == nil {
 		return true
@@ -360,7 +385,7 @@
 		if !t.acceptsFlows(e) {
 			continue
 		}
-		if !e.state.isSilent() {
+		if !r.checkSilent(e, now) {
 			return true
 		}
 		found = true
@@ -368,15 +393,19 @@
 	return !found
 }
 
-// RequestProbe requests a probe of the endpoint with the given token, which a peer
-// has found silent. It does nothing if the endpoint is unknown, ended or already
+// RequestProbe requests at now a probe of the endpoint with the given token, which a
+// peer has found silent. It does nothing if the endpoint is unknown, ended or already
 // silent.
-func (r *Router) RequestProbe(token carawaycart.Token) {
+func (r *Router) RequestProbe(token carawaycart.Token, now time.Time) {
 	t := r.table.Load()
 	if t == nil {
 		return
 	}
-	if e := t.byToken[token]; e != nil && e.presence != directory.Ended && !e.state.isSilent() {
+	e := t.byToken[token]
+	if e == nil || e.presence == directory.Ended {
+		return
+	}
+	if silent, _ := e.state.isSilent(now); !silent {
 		r.observer.ProbeRequested(&e.lifetime)
 	}
 }
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -364,16 +364,16 @@
 	}
 	failProbes("i-02")
 	failProbes("i-04")
-	if !r.Reachable() {
+	if !r.Reachable(start.Add(time.Second)) {
 		t.Error("got no endpoint reachable while those of zone a are")
 	}
 	f.contents.ZonesOut = []carawaycart.ZoneID{"a"}
 	f.update(start)
-	if r.Reachable() {
+	if r.Reachable(start.Add(time.Second)) {
 		t.Error("got an endpoint reachable, want none: zone a is out, the others are silent")
 	}
 	r.RecordProbe(f.endpoint("i-04").Key(), true, start, start.Add(2*time.Second))
-	if !r.Reachable() {
+	if !r.Reachable(start.Add(time.Second)) {
 		t.Error("got no endpoint reachable after one has answered")
 	}
 }
--- /dev/null
+++ b/core/steer/silence_test.go
@@ -0,0 +1,163 @@
+package steer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"carawaycart"
+	"carawaycart/core/steer"
+)
+
+// Load pattern: an endpoint is silent behind a cut, its entry expires meanwhile, and it
+// returns with its entry after the cut. Guards against resetting its open flows on
+// evidence from before, and against an endpoint that gets no flow again because nobody
+// probes it.
+func TestReturnedEndpointIsNotSilent(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	makeSilent(t, f, 0, d.Endpoint, start.Add(time.Second))
+	l := f.endpoint(d.Endpoint)
+	f.remove(d.Endpoint)
+	f.update(start.Add(4 * time.Second))
+	if again, _ := r.RecordProbe(l.Key(), false, start.Add(4*time.Second), start.Add(4*time.Second+150*time.Millisecond)); again {
+		t.Fatal("got an ended endpoint probed again, want no more probes")
+	}
+	f.events[0].probeRequests = nil
+	f.contents.Lifetimes = append(f.contents.Lifetimes, l)
+	now := start.Add(7 * time.Second)
+	f.update(now)
+	if got := f.events[0].probeRequests; len(got) != 1 || got[0] != d.Endpoint {
+		t.Errorf("got probes of %v requested on the return, want one of %s", got, d.Endpoint)
+	}
+	if got := r.Decide(request(1, feed, d.Token), now); got.Verdict != carawaycart.VerdictForward {
+		t.Errorf("got verdict %d for %s, want the open flow to continue after its endpoint returned", got.Verdict, got.Cause)
+	}
+}
+
+// Load pattern: a silent endpoint whose probes have stopped for whatever reason, while
+// new flows arrive. Guards against relying on a single event to end its silence.
+func TestOutdatedSilenceIsProbed(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	makeSilent(t, f, 0, "i-01", start)
+	f.events[0].probeRequests = nil
+	r.Decide(first(1, feed), start.Add(time.Second))
+	if got := f.events[0].probeRequests; len(got) != 0 {
+		t.Errorf("got probes of %v requested while the last one is recent, want none", got)
+	}
+	now := start.Add(3 * time.Second)
+	if d := r.Decide(first(2, feed), now); d.Endpoint == "i-01" {
+		t.Error("got a new flow at an endpoint whose silence is outdated while another answers")
+	}
+	if got := f.events[0].probeRequests; len(got) != 1 || got[0] != "i-01" {
+		t.Errorf("got probes of %v requested, want one of i-01", got)
+	}
+}
+
+// silenceMachine is the state machine of TestSilenceProperty: an instance with one
+// endpoint that may be cut off, whose entry may disappear and return, and whose probes
+// take place as the Prober sends them.
+type silenceMachine struct {
+	fleet     *fleet
+	key       carawaycart.LifetimeKey
+	lifetime  *carawaycart.Lifetime
+	token     carawaycart.Token
+	now       time.Time
+	reachable bool
+	changedAt time.Time // when reachable last changed
+	listed    bool
+	probing   bool      // whether a probe is scheduled
+	probeAt   time.Time // when the next probe is sent
+	period    time.Duration
+	flow      int
+}
+
+// advance moves the time on, in steps in which scheduled probes take place.
+func (m *silenceMachine) advance(d time.Duration) {
+	const probeTimeout = 150 * time.Millisecond
+	r := m.fleet.routers[0]
+	for end := m.now.Add(d); ; {
+		if len(m.fleet.events[0].probeRequests) > 0 && !m.probing {
+			m.probing, m.probeAt, m.period = true, m.now, 100*time.Millisecond
+		}
+		m.fleet.events[0].probeRequests = nil
+		if !m.probing || m.probeAt.After(end) {
+			m.now = end
+			return
+		}
+		began := m.probeAt
+		m.now = began
+		if !m.reachable {
+			m.now = began.Add(probeTimeout)
+		}
+		again, _ := r.RecordProbe(m.key, m.reachable, began, m.now)
+		m.probing = again
+		m.probeAt = m.now.Add(m.period)
+		m.period = min(2*m.period, steer.MaxProbePeriod)
+		if m.now.After(end) {
+			return
+		}
+	}
+}
+
+// Property: whatever order cuts, returns, expiries and timeouts come in, an endpoint that
+// has been reachable and listed for a probe period and a probe is not silent, and no open
+// flow is reset because of silence that is older.
+func TestSilenceProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(1, 1)
+		l := f.contents.Lifetimes[0]
+		m := &silenceMachine{fleet: f, key: l.Key(), lifetime: l, now: start, reachable: true, listed: true, changedAt: start}
+		r := f.routers[0]
+		d := r.Decide(first(1, feed), m.now)
+		m.token, m.flow = d.Token, 100
+		r.Decide(acknowledgement(1, feed, d.Token), m.now.Add(time.Millisecond))
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				m.reachable, m.changedAt = !m.reachable, m.now
+			case 1: // the entry expires or returns
+				if m.listed {
+					f.remove(l.ID)
+				} else {
+					f.contents.Lifetimes = append(f.contents.Lifetimes, l)
+				}
+				m.listed, m.changedAt = !m.listed, m.now
+				f.update(m.now)
+			case 2: // new flows, whose first packets are answered or time out
+				for range 2 {
+					m.flow++
+					d := r.Decide(first(m.flow, feed), m.now)
+					k := key(m.flow, feed)
+					if d.Verdict != carawaycart.VerdictForward {
+						continue
+					}
+					if m.reachable {
+						r.Decide(acknowledgement(m.flow, feed, d.Token), m.now)
+					} else {
+						r.Hedge(&k, m.now.Add(40*time.Millisecond))
+					}
+				}
+			default:
+				m.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			}
+			m.advance(0)
+			const bound = steer.MaxProbePeriod + steer.SilenceSlack
+			if !m.reachable || !m.listed || m.now.Sub(m.changedAt) <= bound {
+				continue
+			}
+			if got := r.Decide(request(1, feed, m.token), m.now); got.Verdict != carawaycart.VerdictForward {
+				t.Fatalf("got verdict %d for %s of an open flow %v after its endpoint became reachable", got.Verdict, got.Cause, m.now.Sub(m.changedAt))
+			}
+			m.advance(time.Second) // the new flow may cause the probe that shows that it answers
+			if v := r.Endpoints(m.now); v[0].Silent {
+				t.Fatal(fmt.Sprint("got the endpoint silent ", m.now.Sub(m.changedAt), " after it became reachable"))
+			}
+		}
+	})
+}
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -214,7 +214,7 @@
 	}
 	if len(update.GetSilentTokens()) > 0 {
 		for _, t := range update.GetSilentTokens() {
-			d.router.RequestProbe(carawaycart.Token(t))
+			d.router.RequestProbe(carawaycart.Token(t), d.clock.Now())
 		}
 		return
 	}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -191,8 +191,9 @@
 // Isolated reports whether the instance can reach neither an endpoint that accepts
 // new flows nor the store, directly or through peers. It logs each change.
 func (e *Instance) Isolated() bool {
-	age := e.clock.Now().Sub(e.view.State().LastReadAt)
-	isolated := age > isolatedViewAge && !e.router.Reachable()
+	now := e.clock.Now()
+	age := now.Sub(e.view.State().LastReadAt)
+	isolated := age > isolatedViewAge && !e.router.Reachable(now)
 	if e.loggedIsolated.Swap(isolated) != isolated {
 		e.log.Event("isolated").Bool("isolated", isolated).Millis("viewAgeMs", age).End()
 	}
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -22,7 +22,7 @@
 	// initialProbePeriod is the time between the first two probes. The period
 	// doubles up to maxProbePeriod.
 	initialProbePeriod = 100 * time.Millisecond
-	maxProbePeriod     = 1600 * time.Millisecond
+	maxProbePeriod     = steer.MaxProbePeriod
 )
 
 // Prober sends health checks to endpoints that left packets unanswered, here or at a
