Accept only values in range from other writers, and keep what was known

Cause (operators' report on odd entries): fields of the store's items were checked for type, hardly for range. Refusals are logged (itemRefused). The kind download is idempotent, a kind that is not known is not. Replaced check: 'address reassigned' now drops the old entry, since both listed is the hostile case; the listed case has three checks of its own.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -22,8 +22,19 @@
 	items          map[string]entry
 	revision       carawaycart.StoreRevision
 	decodeFailures int
+	refusals       []Refusal
 }
 
+// Refusal is an item that could not be decoded.
+type Refusal struct {
+	Key      string
+	Revision carawaycart.StoreRevision
+	Err      error
+}
+
+// maxRefusals limits the refusals that are kept for TakeRefusals.
+const maxRefusals = 32
+
 // New returns an empty directory that decodes items with decode.
 func New(decode Decoder) *Directory {
 	return &Directory{decode: decode, items: make(map[string]entry)}
@@ -36,6 +47,14 @@
 // DecodeFailures returns the number of items received so far that could not be decoded.
 func (d *Directory) DecodeFailures() int { return d.decodeFailures }
 
+// TakeRefusals returns the items that could not be decoded since the last call, at most
+// maxRefusals of them.
+func (d *Directory) TakeRefusals() []Refusal {
+	r := d.refusals
+	d.refusals = nil
+	return r
+}
+
 // Delta is the set of changes between two revisions of the store.
 type Delta struct {
 	From, To    carawaycart.StoreRevision
@@ -160,7 +179,9 @@
 }
 
 // insert stores i and returns true, unless an item with its key and the same or a
-// newer revision is stored. It stores an item that cannot be decoded too.
+// newer revision is stored. It stores an item that cannot be decoded too, with what
+// was known before: a configuration stays in force, and an endpoint keeps its flows but
+// gets no new ones.
 func (d *Directory) insert(i carawaycart.StoreItem) bool {
 	stored, ok := d.items[i.Key]
 	if ok && stored.item.Revision >= i.Revision {
@@ -169,6 +190,15 @@
 	decoded, err := d.decode(i)
 	if err != nil {
 		d.decodeFailures++
+		if len(d.refusals) < maxRefusals {
+			d.refusals = append(d.refusals, Refusal{Key: i.Key, Revision: i.Revision, Err: err})
+		}
+		decoded = carawaycart.DecodedItem{Config: stored.decoded.Config}
+		if l := stored.decoded.Lifetime; l != nil {
+			draining := *l
+			draining.Draining = true
+			decoded.Lifetime = &draining
+		}
 	}
 	d.items[i.Key] = entry{item: i, decoded: decoded}
 	return true
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -89,6 +89,37 @@
 	}
 }
 
+// Another writer may overwrite an entry with one that cannot be decoded. Guards against
+// ending a living endpoint, or losing the configuration, because of it.
+func TestUndecodableItemKeepsWhatWasKnown(t *testing.T) {
+	decode := func(i carawaycart.StoreItem) (carawaycart.DecodedItem, error) {
+		switch {
+		case string(i.Value) == "bad":
+			return carawaycart.DecodedItem{}, errors.New("bad")
+		case i.Key == "config":
+			return carawaycart.DecodedItem{Config: &carawaycart.RouteConfig{Version: 7, Services: []carawaycart.ServicePolicy{{ID: "desk"}}}}, nil
+		}
+		return carawaycart.DecodedItem{Lifetime: &carawaycart.Lifetime{ID: carawaycart.EndpointID(i.Key), Service: "desk"}}, nil
+	}
+	d := directory.New(decode)
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "1", 1), item("i-1", "1", 2)}, 5)
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "bad", 6), item("i-1", "bad", 7), item("i-2", "bad", 8)}, 9)
+	c := d.Contents()
+	if c.Config == nil || c.Config.Version != 7 {
+		t.Errorf("got configuration %+v, want version 7 to stay in force", c.Config)
+	}
+	if len(c.Lifetimes) != 1 || c.Lifetimes[0].ID != "i-1" || !c.Lifetimes[0].Draining {
+		t.Errorf("got lifetimes %+v, want i-1 with its flows and without new ones", c.Lifetimes)
+	}
+	if got := d.TakeRefusals(); len(got) != 3 || got[1].Key != "i-1" || got[1].Revision != 7 || len(d.TakeRefusals()) != 0 {
+		t.Errorf("got refusals %+v, want the three items, once", got)
+	}
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "bad", 6), item("i-1", "2", 10), item("i-2", "bad", 8)}, 11)
+	if c := d.Contents(); len(c.Lifetimes) != 1 || c.Lifetimes[0].Draining {
+		t.Errorf("got lifetimes %+v, want i-1 in use again", c.Lifetimes)
+	}
+}
+
 func TestDecodeFailuresAreCounted(t *testing.T) {
 	d := directory.New(decodeZone)
 	d.ApplyRead([]carawaycart.StoreItem{item("a", "bad", 1), item("b", "1", 2)}, 2)
--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -14,7 +14,7 @@
 // present again.
 const (
 	Present Presence = iota // its entry is in the store
-	Lapsed                  // its entry disappeared, but the endpoint may still be running
+	Lapsed                  // its entry disappeared, or another has its address, but the endpoint may still be running
 	Ended                   // the endpoint has stopped, started again or lost its address
 )
 
@@ -45,6 +45,8 @@
 	// Deadline is when a lapsed lifetime ends or an ended one is removed. It has
 	// no meaning for a present one.
 	Deadline time.Time
+
+	contested bool // whether its entry is listed while a newer one has its address
 }
 
 // LifetimeTracker tracks the presence of lifetimes across successive contents of a
@@ -74,15 +76,21 @@
 	}
 	for key, s := range t.lifetimes {
 		startedAt, listed := startByID[key.ID]
+		reassigned := s.Lifetime.StartedAt < newestByAddress[s.Lifetime.Address]
 		switch {
-		case s.Lifetime.StartedAt < newestByAddress[s.Lifetime.Address]:
-			t.markEnded(s, now) // the address is reassigned only after its previous owner has ended
+		case listed && startedAt == key.StartedAt && reassigned:
+			// Either the endpoint has crashed and its entry not expired yet, or the other
+			// entry is wrong.
+			s.Presence, s.Deadline = Lapsed, now.Add(endedRetention)
 		case listed && startedAt == key.StartedAt:
+		case reassigned:
+			t.markEnded(s, now) // the address is reassigned only after its previous owner has ended
 		case listed:
 			t.markEnded(s, now) // the endpoint has restarted
-		case s.Presence == Present:
+		case s.Presence == Present || s.contested:
 			t.handleAbsent(s, now)
 		}
+		s.contested = listed && startedAt == key.StartedAt && reassigned
 	}
 	t.Tick(now)
 }
--- a/core/directory/lifetime_tracker_test.go
+++ b/core/directory/lifetime_tracker_test.go
@@ -81,7 +81,22 @@
 		{"address reassigned", func(tracker *directory.LifetimeTracker) {
 			tracker.ApplyContents(contents(one), start)
 			tracker.RecordStoreFailure(start.Add(time.Second))
+			tracker.ApplyContents(contents(lifetime("i-9", 7, "10.0.0.1:80")), start.Add(2*time.Second))
+		}, directory.Ended},
+		{"address claimed by another entry while listed", func(tracker *directory.LifetimeTracker) {
+			tracker.ApplyContents(contents(one), start)
+			tracker.ApplyContents(contents(one, lifetime("i-9", 7, "10.0.0.1:80")), start.Add(2*time.Second))
+			tracker.Tick(start.Add(time.Minute))
+		}, directory.Lapsed},
+		{"address no longer claimed by another entry", func(tracker *directory.LifetimeTracker) {
+			tracker.ApplyContents(contents(one), start)
+			tracker.ApplyContents(contents(one, lifetime("i-9", 7, "10.0.0.1:80")), start.Add(2*time.Second))
+			tracker.ApplyContents(contents(one), start.Add(3*time.Second))
+		}, directory.Present},
+		{"entry removed after another claimed the address", func(tracker *directory.LifetimeTracker) {
+			tracker.ApplyContents(contents(one), start)
 			tracker.ApplyContents(contents(one, lifetime("i-9", 7, "10.0.0.1:80")), start.Add(2*time.Second))
+			tracker.ApplyContents(contents(lifetime("i-9", 7, "10.0.0.1:80")), start.Add(3*time.Second))
 		}, directory.Ended},
 	} {
 		tracker := directory.NewLifetimeTracker()
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -58,7 +58,7 @@
 		Outstanding: s.opening + s.waiting, Open: s.open, RequestSlots: e.lifetime.RequestSlots,
 		SameZone: e.lifetime.Zone == zone, Lapsed: e.presence == directory.Lapsed,
 		Avoided: s.timeouts > 0 && (now.Before(s.avoidUntil) || s.opening > 0),
-		Silent: s.isSilentLocked(now), Failing: s.outcomeCounts.failing(now),
+		Silent:  s.isSilentLocked(now), Failing: s.outcomeCounts.failing(now),
 	}
 	if s.silent && !c.Silent {
 		c.Avoided, c.silenceOutdated = true, true
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -16,7 +16,10 @@
 	// maxPeerFailures limits the failures that are merged from one report of a
 	// peer. It is below minFailures, so that a report alone cannot make an endpoint
 	// count as failing.
-	maxPeerFailures     = 1
+	maxPeerFailures = 1
+	// maxPeerAnswers limits the answers that are merged from one report of a peer. It
+	// exceeds what an endpoint answers within outcomeReportPeriod.
+	maxPeerAnswers      = 1000
 	outcomeReportPeriod = 300 * time.Millisecond // minimum time between reports to peers
 	// maxPendingRequests limits the requests that are tracked until their answer
 	// timeout.
@@ -185,7 +188,7 @@
 	}
 	for _, o := range outcomes {
 		if e := t.byToken[o.Token]; e != nil {
-			e.state.mergePeerOutcomes(min(float64(o.Failed), maxPeerFailures), float64(o.Answered), now)
+			e.state.mergePeerOutcomes(min(float64(o.Failed), maxPeerFailures), min(float64(o.Answered), maxPeerAnswers), now)
 		}
 	}
 }
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -170,7 +170,7 @@
 	}
 	for i := range c.Routes {
 		from := &c.Routes[i]
-		r := &route{repeatable: from.Kind == carawaycart.RequestSafe}
+		r := &route{repeatable: from.Kind.Idempotent()}
 		for _, to := range from.Targets {
 			if t.admissions[to.Service] == nil {
 				t.admissions[to.Service] = &Admission{}
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -19,6 +19,7 @@
 	"carawaycart/internal/rendezvous"
 	"carawaycart/io/peer"
 	"carawaycart/message"
+	"carawaycart/platform"
 )
 
 const (
@@ -311,16 +312,18 @@
 
 // Directory returns a snapshot of the changes since the revision of the requesting
 // peer, and records the peer's registration if it asks for one. It returns a NotValid
-// error if the address of the registration is malformed.
+// error if the registration is.
 func (d *Disseminator) Directory(r *message.DirectoryRequest) (*message.DirectoryCopy, error) {
 	if r.GetId() != "" {
 		address, err := netip.ParseAddrPort(r.GetPeerAddress())
 		if err != nil {
 			return nil, errors.NewNotValid(err, "address of a registration")
 		}
-		d.registrar.RequestRegistration(carawaycart.Registration{
-			ID: carawaycart.InstanceID(r.GetId()), Zone: carawaycart.ZoneID(r.GetZone()), PeerAddress: address,
-		})
+		registration := carawaycart.Registration{ID: carawaycart.InstanceID(r.GetId()), Zone: carawaycart.ZoneID(r.GetZone()), PeerAddress: address}
+		if err := platform.ValidateInstance(&registration); err != nil {
+			return nil, err // one invalid entry would fail the write of all that are requested
+		}
+		d.registrar.RequestRegistration(registration)
 	}
 	return d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), d.clock.Now())
 }
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -145,6 +145,13 @@
 // source of the change is only logged. v.mu must be held.
 func (v *View) rebuild(source string, now time.Time) {
 	v.contents = v.directory.Contents()
+	for _, r := range v.directory.TakeRefusals() {
+		v.log.Event("itemRefused").Text("key", r.Key).Int("revision", int64(r.Revision)).Err(r.Err).End()
+	}
+	invalidRoutes := 0
+	if c := v.contents.Config; c != nil {
+		invalidRoutes = c.InvalidRoutes
+	}
 	operatorConfig, err := loadOperatorConfig(v.directory, v.clock)
 	if err != nil {
 		// The last valid configuration stays in effect.
@@ -160,7 +167,8 @@
 	v.router.SetTable(table)
 	v.log.Event("view").Int("revision", int64(v.directory.Revision())).Int("config", int64(table.ConfigVersion)).
 		Int("lifetimes", int64(len(v.contents.Lifetimes))).Int("instances", int64(len(v.contents.Instances))).
-		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("profiles", int64(v.operatorConfig.Revision)).
+		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("invalidRoutes", int64(invalidRoutes)).
+		Int("profiles", int64(v.operatorConfig.Revision)).
 		Text("source", source).Millis("ageMs", now.Sub(v.lastReadAt)).End()
 }
 
--- a/lifetime.go
+++ b/lifetime.go
@@ -38,16 +38,22 @@
 // Key returns the identity of l.
 func (l *Lifetime) Key() LifetimeKey { return LifetimeKey{ID: l.ID, StartedAt: l.StartedAt} }
 
-// RequestKind tells whether a request may be sent again.
+// RequestKind is the kind of the requests of a route.
 type RequestKind string
 
-// The kinds of request. Only safe requests may be sent again.
+// The kinds of request.
 const (
-	RequestSafe   RequestKind = "safe"
-	RequestUnsafe RequestKind = "unsafe"
-	RequestUpload RequestKind = "upload"
+	RequestUnknown  RequestKind = "" // a kind that is not one of those below
+	RequestSafe     RequestKind = "safe"
+	RequestUnsafe   RequestKind = "unsafe"
+	RequestUpload   RequestKind = "upload"
+	RequestDownload RequestKind = "download"
 )
 
+// Idempotent reports whether requests of kind k may run more than once. It is false for
+// an unknown kind.
+func (k RequestKind) Idempotent() bool { return k == RequestSafe || k == RequestDownload }
+
 // RouteTarget is a service of a Route with its share of the new flows.
 type RouteTarget struct {
 	Service ServiceID
@@ -78,6 +84,8 @@
 	Routes      []Route
 	Services    []ServicePolicy
 	IdleTimeout time.Duration // idle time after which a flow may be discarded
+
+	InvalidRoutes int // number of routes that were left out because they are invalid
 }
 
 // Registration is the store entry by which other instances discover an instance.
