Find dark endpoints from one request, and reset the callers that wait

Cause: evidence about an endpoint thins as the fleet grows. Change: deadlines are processed every 50 ms; the first request without any answer of its endpoint asks for a probe; the second probe follows after 50 ms; a peer's report counts as one failed probe, so that one own probe decides; callers of repeatable requests that wait on a silent endpoint are reset at once; peers of a report do not repeat it; when one silent endpoint answers again, the others are probed at once. Kept: two failed probes without an answer in between before any reset; unsafe requests are never reset.

--- /dev/null
+++ b/core/steer/backlog.go
@@ -0,0 +1,62 @@
+package steer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxBacklogPackets limits the packets in a Backlog. An instance that starts under
+	// load receives fewer before it has a table.
+	maxBacklogPackets = 256
+	// maxBacklogAge is the age above which a packet is discarded. Callers send the last
+	// copy of a first packet after 600 ms.
+	maxBacklogAge = 600 * time.Millisecond
+)
+
+// Backlog holds the packets that arrive before the router of a starting instance has a
+// table. When all instances start at once, no other can forward them, and a caller sends
+// its next copy only after 200, 400 or 800 ms, which may be too late. A Backlog is safe
+// for concurrent use.
+type Backlog struct {
+	mu      sync.Mutex
+	packets []backlogPacket // ordered by receivedAt
+	taken   bool            // whether Take was called
+}
+
+// backlogPacket is a packet that was received at receivedAt.
+type backlogPacket struct {
+	data       []byte
+	receivedAt time.Time
+}
+
+// Add holds a copy of data, a packet that was received at now, and reports whether it
+// did. If the backlog is full, it discards the oldest packet, whose caller is the closest
+// to giving up. After Take, it holds nothing.
+func (b *Backlog) Add(data []byte, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.taken {
+		return false
+	}
+	if len(b.packets) >= maxBacklogPackets {
+		b.packets = b.packets[1:]
+	}
+	b.packets = append(b.packets, backlogPacket{data: append([]byte(nil), data...), receivedAt: now})
+	return true
+}
+
+// Take ends the backlog and returns its packets in the order of their arrival, except
+// those that are older than maxBacklogAge at now.
+func (b *Backlog) Take(now time.Time) [][]byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var packets [][]byte
+	for _, p := range b.packets {
+		if now.Sub(p.receivedAt) <= maxBacklogAge {
+			packets = append(packets, p.data)
+		}
+	}
+	b.packets, b.taken = nil, true
+	return packets
+}
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -99,25 +99,31 @@
 	MaxProbePeriod = 1600 * time.Millisecond
 	// SilenceSlack covers the time that a probe takes, with delays of its sender.
 	SilenceSlack = 400 * time.Millisecond
+
+	// silenceReportPeriod is the time after the report of a peer during which the
+	// peers of the zone need no other report of the same endpoint.
+	silenceReportPeriod = 2 * time.Second
 )
 
 // state holds what an instance has observed of one lifetime of an endpoint. It is safe
 // for concurrent use.
 type state struct {
-	mu              sync.Mutex
-	opening         int           // number of first packets that may still be answered
-	waiting         int           // number of unanswered requests that were not abandoned
-	open            int           // number of tracked open flows, except those whose request was abandoned
-	timeouts        int           // number of timeouts of first packets or requests since the last answer
-	failedProbes    int           // number of probes that failed since the last answer
-	silent          bool          // whether the endpoint answered neither packets nor probes; see isSilent
-	probeFailedAt   time.Time     // when the last probe failed
-	avoidUntil      time.Time     // end of the avoidance after the last timeout; zero after an answer
-	answeredAt      time.Time     // when the endpoint last answered
-	recentColdFlows []time.Time   // when the latest flows were forwarded to it while cold
-	coldFlows       int           // number of flows that were forwarded to it since it became cold
-	outcomeCounts   outcomeCounts // outcomes of requests, observed locally and reported by peers
-	unreported      Outcomes      // local outcomes that have not been reported to peers
+	mu            sync.Mutex
+	opening       int       // number of first packets that may still be answered
+	waiting       int       // number of unanswered requests that were not abandoned
+	open          int       // number of tracked open flows, except those whose request was abandoned
+	timeouts      int       // number of timeouts of first packets or requests since the last answer
+	failedProbes  int       // number of probes that failed since the last answer
+	silent        bool      // whether the endpoint answered neither packets nor probes; see isSilent
+	probeFailedAt time.Time // when the last probe failed
+	// silenceReportedAt is when a peer last reported the endpoint as silent.
+	silenceReportedAt time.Time
+	avoidUntil        time.Time     // end of the avoidance after the last timeout; zero after an answer
+	answeredAt        time.Time     // when the endpoint last answered
+	recentColdFlows   []time.Time   // when the latest flows were forwarded to it while cold
+	coldFlows         int           // number of flows that were forwarded to it since it became cold
+	outcomeCounts     outcomeCounts // outcomes of requests, observed locally and reported by peers
+	unreported        Outcomes      // local outcomes that have not been reported to peers
 }
 
 // recordOutcomes adds outcomes that were observed locally at now.
@@ -201,6 +207,27 @@
 	return changed
 }
 
+// recordPeerSilence records at now that a peer has found the endpoint silent, and reports
+// whether it is to be probed, which it is unless it is silent already.
+func (s *state) recordPeerSilence(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isSilentLocked(now) {
+		return false
+	}
+	s.silenceReportedAt = now
+	s.failedProbes = max(s.failedProbes, failedProbesBeforeSilent-1)
+	return true
+}
+
+// reportedSilent reports whether a peer has found the endpoint silent within
+// silenceReportPeriod before now.
+func (s *state) reportedSilent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.silenceReportedAt.IsZero() && now.Sub(s.silenceReportedAt) < silenceReportPeriod
+}
+
 // needsProbe reports whether the endpoint has to be probed again, because it is
 // silent or its last probe failed.
 func (s *state) needsProbe() bool {
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -84,6 +84,18 @@
 	return packedAddress(binary.BigEndian.Uint32(ip[:]))<<16 | packedAddress(a.Port())
 }
 
+// unpack returns the address that a was packed from.
+func (a packedAddress) unpack() netip.AddrPort {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], uint32(a>>16))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), uint16(a))
+}
+
+// key returns the key that id was made from.
+func (id flowID) key() carawaycart.FlowKey {
+	return carawaycart.FlowKey{Caller: id.caller.unpack(), Service: id.service.unpack(), Protocol: carawaycart.TCP}
+}
+
 func newFlowID(k *carawaycart.FlowKey) flowID { return flowID{pack(k.Caller), pack(k.Service)} }
 
 // lockShard locks and returns the shard of id.
@@ -121,6 +133,16 @@
 	f.endpoint.state.adjustCounts(-boolToInt(f.phase == phaseOpening), -boolToInt(f.waiting && !f.abandoned), -boolToInt(f.phase == phaseOpen && !f.abandoned))
 }
 
+// forEachShard calls f with each shard, which is locked during the call.
+func (t *flowTable) forEachShard(f func(*flowShard)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		f(s)
+		s.mu.Unlock()
+	}
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -98,12 +98,15 @@
 	}
 }
 
-// processDeadlines records the unanswered requests whose deadlines have passed at now as
-// slow, failed or abandoned, and reports the outcomes to the observer.
+// ProcessDeadlines records the unanswered requests whose deadlines have passed at now as
+// slow, failed or abandoned, and reports the outcomes to the observer. It requests a
+// probe of an endpoint that has answered nothing since a failed request was sent: the
+// more instances there are, the fewer requests each sends to one endpoint, so that the
+// first failure has to suffice. It must be called regularly, since packets may be rare.
 //
 // A failed request still counts as outstanding until it is abandoned: an endpoint that
 // drops its requests would otherwise appear idle and attract more of them.
-func (r *Router) processDeadlines(now time.Time) {
+func (r *Router) ProcessDeadlines(now time.Time) {
 	for q, ok := r.popDue(&r.slow, now); ok; q, ok = r.popDue(&r.slow, now) {
 		s := r.flows.lockShard(q.id)
 		if f := s.flows[q.id]; f != nil && f.waiting && f.requestedAt.Equal(q.requestedAt) {
@@ -120,6 +123,9 @@
 		if f := s.flows[q.id]; f != nil && f.waiting && f.requestedAt.Equal(q.requestedAt) {
 			f.endpoint.state.recordOutcomes(1, 0, now)
 			r.scheduleReport(f.endpoint)
+			if !f.endpoint.state.answeredSince(f.requestedAt) {
+				r.observer.ProbeRequested(&f.endpoint.lifetime)
+			}
 			q.deadline = now.Add(abandonTimeout)
 			r.mu.Lock()
 			r.abandoned = append(r.abandoned, q)
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -59,6 +59,9 @@
 	flows    *flowTable
 	observer Observer
 
+	configured     chan struct{} // closed when a table with a routing configuration is first set
+	configuredOnce sync.Once
+
 	mu               sync.Mutex // guards the fields below
 	random           *rand.Rand
 	candidates       []Candidate                              // buffer that is reused between placements
@@ -77,7 +80,7 @@
 // numbers from source and notifies o.
 func NewRouter(zone carawaycart.ZoneID, source rand.Source, o Observer) *Router {
 	return &Router{
-		zone: zone, flows: newFlowTable(), observer: o, random: rand.New(source),
+		zone: zone, flows: newFlowTable(), observer: o, random: rand.New(source), configured: make(chan struct{}),
 		timeoutEstimator: make(map[carawaycart.ZoneID]*timeoutEstimator), unreported: make(map[carawaycart.Token]*state),
 	}
 }
@@ -86,6 +89,9 @@
 // returned since the table before are alive, so those that were silent are probed again.
 func (r *Router) SetTable(t *Table) {
 	previous := r.table.Swap(t)
+	if t.HasConfig() {
+		r.configuredOnce.Do(func() { close(r.configured) })
+	}
 	if t == nil || previous == nil {
 		return
 	}
@@ -97,6 +103,10 @@
 	}
 }
 
+// Configured returns a channel that is closed once the router has had a table with a
+// routing configuration.
+func (r *Router) Configured() <-chan struct{} { return r.configured }
+
 // Table returns the current table, or nil if none was set.
 func (r *Router) Table() *Table { return r.table.Load() }
 
@@ -161,7 +171,7 @@
 // decideFirst returns the decision for p, the first packet of the flow id, which the
 // caller may have sent before.
 func (r *Router) decideFirst(t *Table, route *route, id flowID, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
-	r.processDeadlines(now)
+	r.ProcessDeadlines(now)
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
 	var tried []*endpoint
@@ -356,21 +366,56 @@
 	}
 }
 
+// ProbeResult is what follows from a probe of an endpoint.
+type ProbeResult struct {
+	Again     bool // whether the endpoint is to be probed again
+	Silent    bool // whether the endpoint became silent
+	Recovered bool // whether the endpoint was silent and answers again
+	Reported  bool // whether a peer has lately reported the endpoint as silent
+}
+
 // RecordProbe records at now the outcome of a probe that began at began; alive tells
-// whether it was answered. It reports whether the endpoint is to be probed again and
-// whether this probe made it silent. Probes of unknown or ended lifetimes are
-// ignored.
-func (r *Router) RecordProbe(key carawaycart.LifetimeKey, alive bool, began, now time.Time) (again, silent bool) {
+// whether it was answered. Probes of unknown or ended lifetimes are ignored.
+func (r *Router) RecordProbe(key carawaycart.LifetimeKey, alive bool, began, now time.Time) ProbeResult {
 	t := r.table.Load()
 	if t == nil || t.byKey[key] == nil || t.byKey[key].presence == directory.Ended {
-		return false, false
+		return ProbeResult{}
 	}
 	e := t.byKey[key]
 	changed := e.state.recordProbe(alive, began, now)
 	if changed {
 		r.observer.SilenceChanged(e.lifetime.ID, !alive)
 	}
-	return e.state.needsProbe(), changed && !alive
+	return ProbeResult{
+		Again: e.state.needsProbe(), Silent: changed && !alive, Recovered: changed && alive, Reported: e.state.reportedSilent(now),
+	}
+}
+
+// TakeStranded returns a packet of each flow whose request waits for the endpoint with
+// the given key, which is silent at now, if the request may run more than once. It
+// removes the records of these flows, which are to be reset: a caller that waits for
+// its own timeout may have no time left to try again.
+func (r *Router) TakeStranded(key carawaycart.LifetimeKey, now time.Time) []carawaycart.Packet {
+	t := r.table.Load()
+	if t == nil || t.byKey[key] == nil {
+		return nil
+	}
+	e := t.byKey[key]
+	if silent, _ := e.state.isSilent(now); !silent {
+		return nil
+	}
+	var stranded []carawaycart.Packet
+	r.flows.forEachShard(func(s *flowShard) {
+		for id, f := range s.flows {
+			if f.endpoint.state == e.state && f.waiting && !f.abandoned && f.objective != nil && f.objective.repeatable {
+				p := carawaycart.Packet{Key: id.key(), Token: e.token, Acknowledged: f.acknowledged}
+				r.observer.Refused(&p, carawaycart.CauseSilent, true, t.Revision)
+				stranded = append(stranded, p)
+				s.remove(id, f)
+			}
+		}
+	})
+	return stranded
 }
 
 // Reachable reports whether at least one endpoint that may take new flows is not silent
@@ -394,7 +439,8 @@
 }
 
 // RequestProbe requests at now a probe of the endpoint with the given token, which a
-// peer has found silent. It does nothing if the endpoint is unknown, ended or already
+// peer has found silent. The probes of the peer count as one that failed here, so that
+// the next one decides. It does nothing if the endpoint is unknown, ended or already
 // silent.
 func (r *Router) RequestProbe(token carawaycart.Token, now time.Time) {
 	t := r.table.Load()
@@ -405,7 +451,7 @@
 	if e == nil || e.presence == directory.Ended {
 		return
 	}
-	if silent, _ := e.state.isSilent(now); !silent {
+	if e.state.recordPeerSilence(now) {
 		r.observer.ProbeRequested(&e.lifetime)
 	}
 }
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -205,10 +205,10 @@
 	if len(f.events[i].probeRequests) == 0 {
 		t.Fatal("got no probe requested after two unanswered flows")
 	}
-	if again, silent := f.routers[i].RecordProbe(l.Key(), false, now.Add(40*time.Millisecond), now.Add(190*time.Millisecond)); !again || silent {
-		t.Fatalf("got again %t, silent %t after one failed probe, want another probe", again, silent)
+	if got := f.routers[i].RecordProbe(l.Key(), false, now.Add(40*time.Millisecond), now.Add(190*time.Millisecond)); !got.Again || got.Silent {
+		t.Fatalf("got %+v after one failed probe, want another probe", got)
 	}
-	if _, silent := f.routers[i].RecordProbe(l.Key(), false, now.Add(290*time.Millisecond), now.Add(440*time.Millisecond)); !silent {
+	if got := f.routers[i].RecordProbe(l.Key(), false, now.Add(290*time.Millisecond), now.Add(440*time.Millisecond)); !got.Silent {
 		t.Fatal("got the endpoint not silent after two failed probes")
 	}
 	for _, n := range f.contents.Lifetimes {
@@ -227,7 +227,7 @@
 	r.Decide(request(1, feed, d.Token), start.Add(8*time.Millisecond))
 	r.RecordProbe(key, false, start.Add(100*time.Millisecond), start.Add(250*time.Millisecond))
 	r.Decide(answered(1, feed, d.Token), start.Add(300*time.Millisecond))
-	if _, silent := r.RecordProbe(key, false, start.Add(350*time.Millisecond), start.Add(500*time.Millisecond)); silent {
+	if got := r.RecordProbe(key, false, start.Add(350*time.Millisecond), start.Add(500*time.Millisecond)); got.Silent {
 		t.Error("got the endpoint silent although it answered between two probes")
 	}
 	p := request(1, feed, d.Token)
--- a/core/steer/silence_test.go
+++ b/core/steer/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -24,7 +25,7 @@
 	l := f.endpoint(d.Endpoint)
 	f.remove(d.Endpoint)
 	f.update(start.Add(4 * time.Second))
-	if again, _ := r.RecordProbe(l.Key(), false, start.Add(4*time.Second), start.Add(4*time.Second+150*time.Millisecond)); again {
+	if got := r.RecordProbe(l.Key(), false, start.Add(4*time.Second), start.Add(4*time.Second+150*time.Millisecond)); got.Again {
 		t.Fatal("got an ended endpoint probed again, want no more probes")
 	}
 	f.events[0].probeRequests = nil
@@ -95,8 +96,7 @@
 		if !m.reachable {
 			m.now = began.Add(probeTimeout)
 		}
-		again, _ := r.RecordProbe(m.key, m.reachable, began, m.now)
-		m.probing = again
+		m.probing = r.RecordProbe(m.key, m.reachable, began, m.now).Again
 		m.probeAt = m.now.Add(m.period)
 		m.period = min(2*m.period, steer.MaxProbePeriod)
 		if m.now.After(end) {
@@ -161,3 +161,71 @@
 		}
 	})
 }
+
+// Load pattern: long flows of many instances at an endpoint that goes dark, so that each
+// instance sees a request at it only now and then. Guards against evidence that gets
+// thinner the more instances there are: the first unanswered request asks for a probe,
+// without another packet, and callers that wait are reset as soon as the silence is
+// known, while half of a budget of 1 s is left.
+func TestDarkEndpointIsFoundFromOneRequest(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		service netip.AddrPort
+		want    int
+	}{{"repeatable request", feed, 1}, {"request that may run once", order, 0}} {
+		f := newFleet(1, 4)
+		r := f.routers[0]
+		d := mustForward(t, r.Decide(first(1, test.service), start))
+		r.Decide(acknowledgement(1, test.service, d.Token), start.Add(time.Millisecond))
+		sent := start.Add(5 * time.Second)
+		r.Decide(request(1, test.service, d.Token), sent)
+		now := sent
+		for ; len(f.events[0].probeRequests) == 0 && now.Before(sent.Add(time.Second)); now = now.Add(50 * time.Millisecond) {
+			r.ProcessDeadlines(now)
+		}
+		if waited := now.Sub(sent); waited > 600*time.Millisecond {
+			t.Fatalf("%s: got no probe within %v of the request", test.name, waited)
+		}
+		k := f.endpoint(d.Endpoint).Key()
+		r.RecordProbe(k, false, now, now.Add(150*time.Millisecond))
+		if got := r.TakeStranded(k, now.Add(150*time.Millisecond)); len(got) != 0 {
+			t.Errorf("%s: got %d flows reset after one failed probe, want none", test.name, len(got))
+		}
+		silentAt := now.Add(350 * time.Millisecond)
+		r.RecordProbe(k, false, now.Add(200*time.Millisecond), silentAt)
+		got := r.TakeStranded(k, silentAt)
+		if len(got) != test.want {
+			t.Fatalf("%s: got %d flows reset, want %d", test.name, len(got), test.want)
+		}
+		if len(got) > 0 && (got[0].Key != key(1, test.service) || got[0].Acknowledged != 500) {
+			t.Errorf("%s: got a reset for %+v, want one for the flow that waits", test.name, got[0])
+		}
+		if got := r.TakeStranded(k, silentAt); len(got) != 0 {
+			t.Errorf("%s: got %d flows reset again", test.name, len(got))
+		}
+	}
+}
+
+// Guards against peers that each need two failed probes of their own for an endpoint
+// that one of them has found silent, and against an endpoint that is silent by report
+// alone, although it answers here.
+func TestSilenceReportedByPeerNeedsOneProbe(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	l := f.endpoint("i-01")
+	token := r.Endpoints(start)[0].Token
+	r.RequestProbe(token, start)
+	if v := r.Endpoints(start)[0]; v.Silent {
+		t.Error("got the endpoint silent by report alone")
+	}
+	got := r.RecordProbe(l.Key(), false, start, start.Add(150*time.Millisecond))
+	if !got.Silent || !got.Reported {
+		t.Errorf("got %+v after a report and a failed probe, want the endpoint silent without another report", got)
+	}
+	f = newFleet(1, 2)
+	r = f.routers[0]
+	r.RequestProbe(token, start)
+	if got := r.RecordProbe(l.Key(), true, start, start.Add(time.Millisecond)); got.Silent || got.Again {
+		t.Errorf("got %+v, want an endpoint that answers not silent", got)
+	}
+}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -44,6 +44,7 @@
 	admission    *Admission    // shared by all routes to the service
 	priority     int           // zero is the most urgent
 	answerTarget time.Duration // time within which a request should be answered
+	repeatable   bool          // whether requests may run more than once
 }
 
 // ColdLimits limits the new flows per second that a cold endpoint gets from all
@@ -177,7 +178,7 @@
 			}
 			r.targets = append(r.targets, routeTarget{
 				service: to.Service, endpoints: services[to.Service], weight: to.Weight,
-				objective: &objective{admission: t.admissions[to.Service], priority: from.Priority, answerTarget: from.TargetLatency},
+				objective: &objective{admission: t.admissions[to.Service], priority: from.Priority, answerTarget: from.TargetLatency, repeatable: r.repeatable},
 			})
 		}
 		t.routes[pack(from.Address)] = r
--- a/internal/edge/counters.go
+++ b/internal/edge/counters.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,7 +20,7 @@
 )
 
 // Counters holds the metrics of an instance. Its methods are safe for concurrent
-// use, except CountDecision, which one thread must call.
+// use.
 type Counters struct {
 	Registry metrics.Registry // holds all metrics below
 
@@ -36,7 +37,7 @@
 	reset      [carawaycart.CauseCount]metrics.Counter // packets answered with a reset
 	faults     [carawaycart.FaultCount]metrics.Counter // datagrams that could not be decoded
 	storeCalls map[[2]string]metrics.Counter           // by kind and outcome
-	decisions  uint32                                  // packets decided; written by one thread
+	decisions  atomic.Uint32                           // packets decided
 }
 
 // storeCallKinds and storeOutcomes are the kinds and outcomes of calls that
@@ -77,6 +78,9 @@
 	return c
 }
 
+// CountReset counts a flow that was reset because of c without a packet of its caller.
+func (c *Counters) CountReset(cause carawaycart.Cause) { c.reset[cause].Inc(1) }
+
 // RegisterViewGauges registers gauges for the revision and the age of the view.
 // The functions return them when the metrics are read, the age in milliseconds.
 func (c *Counters) RegisterViewGauges(revision, ageMillis func() int64) {
@@ -109,7 +113,7 @@
 	default:
 		c.dropped[d.Cause].Inc(1)
 	}
-	if c.decisions++; c.decisions%latencySamplingInterval == 0 {
+	if c.decisions.Add(1)%latencySamplingInterval == 0 {
 		c.Latency.Update(took.Nanoseconds())
 	}
 }
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -52,6 +52,8 @@
 	reader         *Reader
 	prober         *Prober
 	hedger         *Hedger
+	timer          *deadlineTimer
+	backlogSender  *backlogSender
 	peerServer     *peer.Server
 	fabricPort     *fabric.Port
 	readyServer    *http.Server
@@ -81,19 +83,26 @@
 	e.disseminator = NewDisseminator(s.ID, s.Zone, e.view, e.router, sockets.Updates, e.client, e.registrar, clock, log)
 	routerObserver.disseminator = e.disseminator
 	e.prober.notifySilent = e.disseminator.BroadcastSilent
+	e.prober.reset = (&resetter{conn: sockets.Fabric, port: s.FabricAddress.Port(), counters: e.counters, log: log}).reset
 	var err error
 	if e.peerServer, err = peer.NewDirectoryServer(sockets.Peer, e.disseminator, e.counters); err != nil {
 		return nil, err
 	}
-	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, func() fabric.Translator {
-		return &translator{router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger}
-	})
+	backlog := &steer.Backlog{}
+	newTranslator := func() fabric.Translator {
+		return &translator{
+			router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger, backlog: backlog,
+		}
+	}
+	e.backlogSender = newBacklogSender(backlog, e.router, newTranslator(), sockets.Fabric, clock, log)
+	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, newTranslator)
 	e.counters.RegisterViewGauges(
 		func() int64 { return int64(e.view.State().Revision) },
 		func() int64 { return clock.Now().Sub(e.view.State().LastReadAt).Milliseconds() },
 	)
 	e.readyServer = newReadyServer(sockets.Ready, platform.ReadyPath, e.Ready)
 	e.operatorServer = operator.NewServer(sockets.Operator, e, e.counters.Registry)
+	e.timer = newDeadlineTimer(e.router, clock)
 	e.reader = NewReader(s, e.store, e.view, e.disseminator, e.registrar, clock, log)
 	go e.join(own)
 	log.Event("started").Text("zone", string(s.Zone)).Text("store", s.StoreURL).End()
@@ -231,6 +240,8 @@
 	}
 	e.operatorServer.Close()
 	e.hedger.Close()
+	e.timer.close()
+	e.backlogSender.close()
 	e.prober.Close()
 	e.client.Close()
 	e.store.Close()
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -21,7 +21,7 @@
 
 	// initialProbePeriod is the time between the first two probes. The period
 	// doubles up to maxProbePeriod.
-	initialProbePeriod = 100 * time.Millisecond
+	initialProbePeriod = 50 * time.Millisecond
 	maxProbePeriod     = steer.MaxProbePeriod
 )
 
@@ -29,7 +29,8 @@
 // peer.
 type Prober struct {
 	router       *steer.Router
-	notifySilent func(carawaycart.Token) // informs peers that an endpoint is silent
+	notifySilent func(carawaycart.Token)    // informs peers that an endpoint is silent
+	reset        func([]carawaycart.Packet) // resets the flows of packets
 	clock        carawaycart.Clock
 	counters     *Counters
 	log          *eventlog.Log
@@ -40,13 +41,15 @@
 
 	mu      sync.Mutex
 	probing map[carawaycart.LifetimeKey]bool // lifetimes being probed
+	// recovered is closed and replaced when an endpoint that was silent answers again.
+	recovered chan struct{}
 }
 
-// NewProber returns a prober. Its router and notifySilent must be set before Probe
-// is called.
+// NewProber returns a prober. Its router, notifySilent and reset must be set before
+// Probe is called.
 func NewProber(k carawaycart.Clock, c *Counters, log *eventlog.Log) *Prober {
 	p := &Prober{
-		clock: k, counters: c, log: log, probing: make(map[carawaycart.LifetimeKey]bool),
+		clock: k, counters: c, log: log, probing: make(map[carawaycart.LifetimeKey]bool), recovered: make(chan struct{}),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
@@ -60,7 +63,9 @@
 }
 
 // Probe starts to probe the endpoint of l in the background, until it answers or l
-// has ended. It does nothing if l is being probed already.
+// has ended. It does nothing if l is being probed already. When one endpoint that was
+// silent answers again, the others are probed without delay, since a cut that has
+// healed often separated several.
 func (p *Prober) Probe(l *carawaycart.Lifetime) {
 	key := l.Key()
 	p.mu.Lock()
@@ -82,22 +87,47 @@
 		for period := initialProbePeriod; ; period = min(2*period, maxProbePeriod) {
 			began := p.clock.Now()
 			alive := p.probeOnce("http://"+address+p.router.Table().HealthPath(service), id)
-			again, silent := p.router.RecordProbe(key, alive, began, p.clock.Now())
-			if !again {
-				return
+			recovered := p.nextRecovery()
+			result := p.router.RecordProbe(key, alive, began, p.clock.Now())
+			switch {
+			case result.Recovered:
+				p.announceRecovery()
+			case result.Silent:
+				p.reset(p.router.TakeStranded(key, p.clock.Now()))
+				if !result.Reported {
+					p.notifySilent(token)
+				}
 			}
-			if silent {
-				p.notifySilent(token)
+			if !result.Again {
+				return
 			}
 			select {
 			case <-p.ctx.Done():
 				return
+			case <-recovered:
+				period = initialProbePeriod
 			case <-time.After(period):
 			}
 		}
 	})
 }
 
+// nextRecovery returns a channel that is closed when an endpoint that was silent next
+// answers again.
+func (p *Prober) nextRecovery() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.recovered
+}
+
+// announceRecovery ends the waits of all probes.
+func (p *Prober) announceRecovery() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.recovered)
+	p.recovered = make(chan struct{})
+}
+
 // probeOnce reports whether endpoint id is alive at url. An endpoint that accepts
 // the connection is alive, even if it is too busy to answer in time. It is not alive
 // if the answer has the ID of another endpoint, which may have been given the address
--- a/internal/edge/translator.go
+++ b/internal/edge/translator.go
@@ -6,18 +6,20 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/steer"
 	"carawaycart/platform"
 )
 
 // translator rewrites datagrams of the fabric according to the decisions of a
 // router. It implements fabric.Translator.
 type translator struct {
-	router     carawaycart.Router
+	router     *steer.Router
 	clock      carawaycart.Clock
 	counters   *Counters
 	resetPort  uint16        // fabric port of callers, to which resets are sent
 	lastPacket *atomic.Int64 // time of the last packet, in Unix nanoseconds of clock
 	hedger     *Hedger
+	backlog    *steer.Backlog     // holds packets until the router has a configuration
 	packet     carawaycart.Packet // decoded packet, reused between calls
 }
 
@@ -41,6 +43,9 @@
 	}
 	now := t.clock.Now()
 	t.lastPacket.Store(now.UnixNano())
+	if !t.router.Table().HasConfig() && t.backlog.Add(b, now) {
+		return nil, netip.AddrPort{}, false
+	}
 	d := t.router.Decide(p, now)
 	t.counters.CountDecision(&d, time.Since(began))
 	switch d.Verdict {
