Let failed reads of the store count for the whole fleet

Cause: each instance found out by itself that the store was down. Change: the decision when to read moves to core/directory (pure). A failed read, or one that takes over 250 ms, is told to the zone and to relays in the others; the next instance tries 50 to 150 ms later, those that failed do not count in the order, and ranks beyond the fourth are spread. A turned-away instance does not make the store count as failed for the others. Ruled out: longer delays by rank alone (the view gets too old when the first are turned away, TestReadsWhileTheStoreTurnsInstancesAway).

--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -144,6 +144,16 @@
 	d.send(&message.DirectoryNews{From: string(d.self), SilentTokens: []uint32{uint32(t)}}, d.zonePeers(d.view.State().Instances))
 }
 
+// BroadcastFailedRead notifies the peers of the zone, and relays in other zones, that a
+// read of the store has failed.
+func (d *Disseminator) BroadcastFailedRead() {
+	state := d.view.State()
+	notice := &message.DirectoryNews{From: string(d.self), FailedRead: true, Relay: true}
+	d.send(notice, d.relayPeers(state.Instances))
+	notice.Relay = false
+	d.send(notice, d.zonePeers(state.Instances))
+}
+
 // BroadcastOutcomes sends the counts of failed and answered requests of endpoints to
 // the peers of the zone, which merge them with their own.
 func (d *Disseminator) BroadcastOutcomes(outcomes []steer.Outcomes) {
@@ -228,6 +238,14 @@
 		return
 	}
 	now := d.clock.Now()
+	if update.GetFailedRead() {
+		d.view.RecordFailedRead(carawaycart.InstanceID(update.GetFrom()), now)
+		if update.GetRelay() {
+			update.Relay = false
+			d.send(update, d.zonePeers(d.view.State().Instances))
+		}
+		return
+	}
 	began := now.Add(-time.Duration(update.GetAgeMs()) * time.Millisecond)
 	if update.GetTroubleMs() > 0 {
 		d.view.RecordStoreFailure(now.Add(-time.Duration(update.GetTroubleMs()-1) * time.Millisecond))
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -10,29 +10,13 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/directory"
 	"carawaycart/internal/eventlog"
-	"carawaycart/internal/rendezvous"
 	"carawaycart/internal/settings"
 	"carawaycart/platform"
 )
 
 const (
-	// readPeriod is the time between reads by the fleet. Changes must take effect
-	// within 3 s.
-	readPeriod = 600 * time.Millisecond
-
-	// zoneDelayStep is the time by which the instances of a zone delay their reads
-	// after those of the zone before it in sorted order. A read takes up to 120 ms on
-	// a 10 Mbit/s link.
-	zoneDelayStep = 150 * time.Millisecond
-
-	// rankDelayStep is the time by which an instance delays its reads after the
-	// instance of the same zone with the next higher rendezvous hash.
-	rankDelayStep = 200 * time.Millisecond
-
-	maxZoneSteps = 4 // limit of the zone delay, in steps
-	maxRankSteps = 4 // limit of the rank delay, in steps
-
 	// readTimeout limits a read of the store, which takes 4 ms, and up to 60 times
 	// as long when the store is slow.
 	readTimeout = time.Second
@@ -45,11 +29,9 @@
 	// first time. Seeds then take up to 0.3 s to answer.
 	firstStartHeadStart = time.Second
 
-	// The time between a failed read and the next doubles with each further failure.
-	firstReadRetryPeriod = 100 * time.Millisecond // initial value while the store has never been read
-	retryPeriod          = 400 * time.Millisecond // initial value after that
-	maxRetryPeriod       = 2 * time.Second
-	maxRetryDoublings    = 6 // prevents an overflow before maxRetryPeriod applies
+	// firstReadRetryPeriod is the time between the first failed read and the next while
+	// the store has never been read.
+	firstReadRetryPeriod = 100 * time.Millisecond
 )
 
 // Reader reads the store when the fleet's last read is too old, and maintains the
@@ -141,61 +123,25 @@
 // nextRead returns the time at which the instance reads the store, unless it learns
 // of a read by a peer before that time.
 func (r *Reader) nextRead(state *State) time.Time {
+	now := r.clock.Now()
 	if state.LastReadAt.IsZero() {
-		return laterTime(r.firstRead, r.clock.Now().Add(r.backoff(firstReadRetryPeriod)))
+		return laterTime(r.firstRead, now.Add(directory.Backoff(firstReadRetryPeriod, r.failures)))
 	}
-	nextRead := state.LastReadAt.Add(readPeriod + readDelay(r.self, r.zone, state.Instances, r.registrar.Written()))
-	if r.failures > 0 {
-		if retry := r.clock.Now().Add(r.backoff(retryPeriod)); retry.After(nextRead) {
-			return retry
-		}
-	}
-	return nextRead
-}
-
-// backoff returns the delay before the next read. The delay is zero without failures,
-// initial after one, and doubles with each further consecutive failure, up to
-// maxRetryPeriod.
-func (r *Reader) backoff(initial time.Duration) time.Duration {
-	if r.failures == 0 {
-		return 0
-	}
-	return min(initial<<min(r.failures-1, maxRetryDoublings), maxRetryPeriod)
-}
-
-// readDelay returns how much longer than readPeriod the instance waits for others to
-// read. The delay grows with the position of the zone in sorted order, and with the
-// instance's rank in the zone by rendezvous hash. An instance that is not listed gets
-// the last rank, because it cannot tell how many such instances there are. If written
-// is true, it has written entries to the store and counts as listed.
-func readDelay(self carawaycart.InstanceID, zone carawaycart.ZoneID, instances []carawaycart.Registration, written bool) time.Duration {
-	key := rendezvous.NewKey("reader")
-	ownScore := rendezvous.Score(rendezvous.NewName(string(self)), key)
-	rank := 0
-	zones := []carawaycart.ZoneID{zone}
-	listed := written
-	for _, i := range instances {
-		listed = listed || i.ID == self
-		if !slices.Contains(zones, i.Zone) {
-			zones = append(zones, i.Zone)
-		}
-		if i.Zone == zone && i.ID != self && rendezvous.Score(rendezvous.NewName(string(i.ID)), key) > ownScore {
-			rank++
-		}
-	}
-	if !listed {
-		rank = maxRankSteps
-	}
-	slices.Sort(zones)
-	return time.Duration(min(slices.Index(zones, zone), maxZoneSteps))*zoneDelayStep + time.Duration(min(rank, maxRankSteps))*rankDelayStep
+	return directory.NextRead(&directory.ReadState{
+		Self: r.self, Zone: r.zone, Instances: state.Instances, Listed: r.registrar.Written(),
+		LastReadAt: state.LastReadAt, Failures: state.FailedReads, OwnFailures: r.failures,
+	}, now)
 }
 
 // read reads the store into the view and broadcasts the delta to peers. A failure is
-// recorded in the view and delays the next read.
+// recorded in the view, delays the next read and is broadcast too, so that the others do
+// not all try in vain.
 func (r *Reader) read(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	began := r.clock.Now()
+	overdue := time.AfterFunc(directory.OverdueRead, r.disseminator.BroadcastFailedRead)
+	defer overdue.Stop()
 	read, err := r.store.ReadAll(callCtx, "")
 	now := r.clock.Now()
 	if err != nil {
@@ -203,8 +149,12 @@
 			return
 		}
 		r.view.RecordStoreFailure(now)
+		r.view.RecordFailedRead(r.self, now)
 		r.failures++
 		r.log.Event("storeFailed").Int("failures", int64(r.failures)).Millis("tookMs", now.Sub(began)).Err(err).End()
+		if overdue.Stop() {
+			r.disseminator.BroadcastFailedRead()
+		}
 		return
 	}
 	if r.failures > 0 {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -34,6 +34,7 @@
 	operatorConfig *config.Configuration // set by operators with the carawaycart commands
 	lastReadAt     time.Time             // start of the last known read of the store
 	storeFailure   time.Time             // time of the last known store failure
+	failedReads    directory.FailedReads // failed reads by this instance and its peers
 	renewed        chan struct{}         // closed and replaced when lastReadAt advances
 }
 
@@ -65,6 +66,7 @@
 	Revision     carawaycart.StoreRevision  // revision up to which the view is complete
 	LastReadAt   time.Time                  // start of the last known read of the store; zero if none
 	StoreFailure time.Time                  // last known store failure; zero if none
+	FailedReads  directory.FailedReads      // failed reads by this instance and its peers
 	Instances    []carawaycart.Registration // instances listed in the store
 	Renewed      <-chan struct{}            // closed when LastReadAt advances
 }
@@ -75,7 +77,7 @@
 	defer v.mu.Unlock()
 	return State{
 		Revision: v.directory.Revision(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure,
-		Instances: v.contents.Instances, Renewed: v.renewed,
+		FailedReads: v.failedReads.Clone(), Instances: v.contents.Instances, Renewed: v.renewed,
 	}
 }
 
@@ -133,6 +135,7 @@
 	}
 	if began.After(v.lastReadAt) {
 		v.lastReadAt = began
+		v.failedReads.RecordRead()
 		close(v.renewed)
 		v.renewed = make(chan struct{})
 	}
@@ -188,6 +191,14 @@
 	}
 }
 
+// RecordFailedRead records that a read by the instance id failed at when. The store may
+// fail for that instance alone.
+func (v *View) RecordFailedRead(id carawaycart.InstanceID, when time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failedReads.RecordFailure(id, when)
+}
+
 // SnapshotSince returns the snapshot that a peer needs whose view is complete up to
 // revision, and the start of the read of the store that the snapshot reflects.
 func (v *View) SnapshotSince(revision carawaycart.StoreRevision) (directory.Snapshot, time.Time) {
