Mend faults by which one message or a restart does lasting harm

Change: each mended where it arises; calls and datagrams of peers and packets recover from a panic with a log line; lasting read errors pause. By reading only, without a test: the paused instance, the closed body, a table without slots, the explanation of a slot without current endpoint, the pauses after read errors.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -61,6 +61,7 @@
 // if data is not JSON of that form or a service has no slots.
 func Decode(data []byte) (*Configuration, error) {
 	c := New()
+	clear(c.Profiles) // the snapshot holds the built-in ones that were not deleted
 	if err := DecodeStrict(data, c); err != nil {
 		return nil, errors.Annotate(err, "decode snapshot")
 	}
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -217,3 +217,69 @@
 		}
 	}
 }
+
+// Guards against built-in profiles that operators have deleted and that return with the
+// next snapshot, as on the restart of an instance.
+func TestDeletedBuiltInProfileStaysDeleted(t *testing.T) {
+	c := config.New()
+	deleted := config.BuiltInProfiles()[0].Name
+	before, err := c.EncodedObject(carawaycart.KindProfile, string(deleted))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err = c.Apply(carawaycart.Change{Revision: 1, ID: "x", Kind: carawaycart.KindProfile, Name: string(deleted), Before: before})
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := config.Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := decoded.Profiles[deleted]; ok || len(decoded.Profiles) != len(c.Profiles) {
+		t.Errorf("got profiles %v, want those of the snapshot: %v", decoded.Profiles, c.Profiles)
+	}
+}
+
+// Guards against accepting a part of a damaged entry.
+func TestDecodeStrictRefusesTrailingData(t *testing.T) {
+	for _, data := range []string{`{"name":"a"}}`, `{"name":"a"} ]`, `null`, `{"name":"a"}{}`} {
+		var z struct {
+			Name string `json:"name"`
+		}
+		if err := config.DecodeStrict([]byte(data), &z); err == nil {
+			t.Errorf("%s: got %+v, want an error", data, z)
+		}
+	}
+}
+
+// Guards against changes that wait for a missing one and keep it from being taken, so
+// that an instance never catches up.
+func TestPendingChangesNeverBlockTheMissingOne(t *testing.T) {
+	p := config.NewPendingChanges(4)
+	for r := carawaycart.Revision(3); r < 20; r++ {
+		p.Add(carawaycart.Change{Revision: r}, 1)
+	}
+	p.Add(carawaycart.Change{Revision: 2}, 1)
+	current := carawaycart.Revision(1)
+	for next, ok := p.Pop(current); ok; next, ok = p.Pop(current) {
+		current = next.Revision
+	}
+	if current != 6 { // the missing one and the four that waited
+		t.Errorf("got revision %d, want 6", current)
+	}
+	p.Add(carawaycart.Change{Revision: 9}, current)
+	if _, ok := p.Pop(10); ok { // a whole configuration was loaded meanwhile
+		t.Error("got a change that is applied already")
+	}
+	for r := carawaycart.Revision(12); r < 16; r++ {
+		p.Add(carawaycart.Change{Revision: r}, 10)
+	}
+	p.Add(carawaycart.Change{Revision: 11}, 10)
+	if next, ok := p.Pop(10); !ok || next.Revision != 11 {
+		t.Errorf("got %d, %t, want 11: applied changes must not take up room", next.Revision, ok)
+	}
+}
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"regexp"
 
 	"github.com/juju/errors"
@@ -28,9 +29,12 @@
 	if err := d.Decode(v); err != nil {
 		return errors.NewNotValid(err, "decode object")
 	}
-	if d.More() {
+	if _, err := d.Token(); err != io.EOF {
 		return errors.NotValidf("trailing data after the JSON object")
 	}
+	if bytes.Equal(bytes.TrimSpace(data), []byte("null")) {
+		return errors.NotValidf("null in place of an object")
+	}
 	return nil
 }
 
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -76,7 +76,8 @@
 	present := make(map[string]struct{}, len(items))
 	for _, i := range items {
 		present[i.Key] = struct{}{}
-		if d.insert(i) {
+		// An item that was newer than the read before is part of this delta too.
+		if d.insert(i) || i.Revision > delta.From && i.Revision <= revision {
 			delta.Items = append(delta.Items, d.items[i.Key].item)
 		}
 	}
@@ -106,7 +107,10 @@
 //
 // A delta omits items that were both written and removed between From and To, but
 // a directory newer than From may hold them. Its items that were written between
-// the two and are not in the delta are therefore removed.
+// the two and are not in the delta are therefore removed. A directory at From may hold
+// such items too, from a read whose pages were newer than its revision. Earlier
+// versions leave these out of the delta even if they exist, so that only a snapshot can
+// tell; ApplyDelta then returns false and changes nothing.
 func (d *Directory) ApplyDelta(delta Delta) bool {
 	switch {
 	case delta.To <= d.revision:
@@ -114,9 +118,21 @@
 	case delta.From > d.revision:
 		return false
 	}
-	written := make(map[string]struct{}, len(delta.Items))
+	written := make(map[string]struct{}, len(delta.Items)+len(delta.RemovedKeys))
 	for _, i := range delta.Items {
 		written[i.Key] = struct{}{}
+	}
+	if d.revision == delta.From {
+		for _, key := range delta.RemovedKeys {
+			written[key] = struct{}{}
+		}
+		for key, e := range d.items {
+			if _, ok := written[key]; !ok && e.item.Revision > delta.From && e.item.Revision <= delta.To {
+				return false
+			}
+		}
+	}
+	for _, i := range delta.Items {
 		d.insert(i)
 	}
 	for _, key := range delta.RemovedKeys {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -234,3 +234,27 @@
 		})
 	}
 }
+
+// The pages of a read may hold an item that is newer than the read. Guards against two
+// faults: a receiver that keeps such an item although it was removed within the next
+// delta, and a sender that leaves it out of the next delta although it is there.
+func TestDeltaAfterReadWithNewerItem(t *testing.T) {
+	sender, receiver := directory.New(decodeZone), directory.New(decodeZone)
+	receiver.ApplyDelta(sender.ApplyRead([]carawaycart.StoreItem{item("a", "1", 7), item("b", "1", 8)}, 5))
+	delta := sender.ApplyRead([]carawaycart.StoreItem{item("a", "1", 7)}, 9) // b was removed
+	if !receiver.ApplyDelta(delta) {
+		receiver.ApplySnapshot(sender.SnapshotSince(receiver.Revision()))
+	}
+	if got, want := zones(receiver), []carawaycart.ZoneID{"a=1"}; !slices.Equal(got, want) {
+		t.Errorf("got zones %v after the delta %+v, want %v", got, delta, want)
+	}
+	// An instance that saw b written and removed between two of its reads sends a delta
+	// that does not mention b.
+	other := directory.New(decodeZone)
+	other.ApplyRead(nil, 5)
+	late := directory.New(decodeZone)
+	late.ApplyRead([]carawaycart.StoreItem{item("b", "1", 8)}, 5)
+	if late.ApplyDelta(other.ApplyRead(nil, 9)) && len(zones(late)) != 0 {
+		t.Errorf("got zones %v, want none, or a snapshot asked for", zones(late))
+	}
+}
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -100,6 +100,7 @@
 		}
 		return false
 	}
+	m.Revision = max(m.Revision, e.member.Revision)
 	e.member = m
 	e.deadline = deadline(m.State, now)
 	t.pending = append(t.pending, m)
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -266,3 +266,17 @@
 		t.Errorf("got %d of 1000 keys unchanged when one of 12 instances leaves, want at least 600", unchanged)
 	}
 }
+
+// Guards against an update that lowers the configuration revision of an instance: the
+// configuration never reverts, so peers would take it for one that lags behind.
+func TestMergeNeverLowersRevision(t *testing.T) {
+	table := member.NewTable(carawaycart.Member{ID: "self"})
+	now := time.Unix(1000, 0)
+	table.Merge(carawaycart.Member{ID: "a", Incarnation: 1, Revision: 9}, now)
+	table.Merge(carawaycart.Member{ID: "a", Incarnation: 2, Revision: 4}, now)
+	for _, m := range table.Members() {
+		if m.ID == "a" && (m.Incarnation != 2 || m.Revision != 9) {
+			t.Errorf("got %+v, want incarnation 2 at revision 9", m)
+		}
+	}
+}
--- a/core/slot/table.go
+++ b/core/slot/table.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// Grow returns t doubled until it has at least count slots; t must have at least
-// one slot. Every flow keeps its base and current endpoints. The result may share
+// Grow returns t doubled until it has at least count slots; a table without
+// slots stays empty. Every flow keeps its base and current endpoints. The result may share
 // memory with t.
 func Grow(t carawaycart.SlotTable, count int) carawaycart.SlotTable {
-	for len(t.Base) < count {
+	for len(t.Base) > 0 && len(t.Base) < count {
 		t.Base = append(t.Base, t.Base...)
 		t.Current = append(t.Current, t.Current...)
 	}
--- a/internal/control/configurer.go
+++ b/internal/control/configurer.go
@@ -48,9 +48,9 @@
 	clock        carawaycart.Clock
 
 	mu      sync.Mutex
-	current *config.Configuration                       // nil before the first one
-	pending map[carawaycart.Revision]carawaycart.Change // wait for an earlier change
-	recent  []carawaycart.Change                        // applied last, oldest first
+	current *config.Configuration // nil before the first one
+	pending *config.PendingChanges
+	recent  []carawaycart.Change // applied last, oldest first
 
 	tasks *tasks
 }
@@ -62,7 +62,7 @@
 ) *Configurer {
 	cf := &Configurer{
 		board: b, memberTable: t, log: l, client: peerClient, disseminator: d, counters: c, clock: k,
-		pending: make(map[carawaycart.Revision]carawaycart.Change),
+		pending: config.NewPendingChanges(maxRecentChanges),
 	}
 	cf.tasks = newTasks(func(ctx context.Context) {
 		for ctx.Err() == nil {
@@ -132,21 +132,20 @@
 // ReceiveChange receives a change at now from peer from, or from the store if
 // from is empty. Changes are applied in order of revision: one that arrives
 // early waits for those before it, and one that is already applied is ignored.
-// All changes are ignored while there is no configuration or while
-// maxRecentChanges changes wait.
+// All changes are ignored while there is no configuration, and those that would wait
+// while maxRecentChanges changes wait.
 func (cf *Configurer) ReceiveChange(change carawaycart.Change, from carawaycart.InstanceID, now time.Time) {
 	cf.mu.Lock()
 	defer cf.mu.Unlock()
-	if cf.current == nil || change.Revision <= cf.current.Revision || len(cf.pending) >= maxRecentChanges {
+	if cf.current == nil {
 		return
 	}
-	cf.pending[change.Revision] = change
+	cf.pending.Add(change, cf.current.Revision)
 	for {
-		next, ok := cf.pending[cf.current.Revision+1]
+		next, ok := cf.pending.Pop(cf.current.Revision)
 		if !ok {
 			return
 		}
-		delete(cf.pending, next.Revision)
 		c, err := cf.current.ApplyOrSkip(next)
 		if err != nil {
 			cf.counters.ChangesRefused.Inc(1)
--- a/internal/control/explainer.go
+++ b/internal/control/explainer.go
@@ -98,7 +98,7 @@
 	f := key.Fingerprint()
 	index := route.Active.Index(f)
 	slot := route.Active.Slot(index)
-	if slot.Base == nil {
+	if slot.Base == nil || slot.Current == nil {
 		return operator.FlowExplanation{}, errors.NotFoundf("endpoint of service %s", route.Service.ID)
 	}
 	e := operator.FlowExplanation{
--- a/internal/control/membership.go
+++ b/internal/control/membership.go
@@ -192,8 +192,12 @@
 	if !m.discover(ctx) && m.clock.Now().Before(m.selfListingDeadline) {
 		return false
 	}
-	if m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Fleet: true}, pullSources) {
+	switch pulled := m.pull(ctx, &message.PullRequest{Revision: uint64(m.board.Revision()), Fleet: true}, pullSources); {
+	case pulled:
 		m.stale.Store(false)
+	case m.stale.Load():
+		// Ready without current state, the instance would never decide again.
+		return false
 	}
 	if m.board.View() == nil {
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
--- a/internal/control/sender.go
+++ b/internal/control/sender.go
@@ -134,9 +134,10 @@
 	response, err := s.client.Do(request, e.Endpoint().RequestAddress)
 	switch {
 	case endpoint.IsDialError(err):
-		// No connection was made, so the endpoint received nothing.
+		// No connection was made, so the endpoint received nothing. But net/http has
+		// closed a streamed body, which cannot be sent again.
 		s.permits.Release(p, false)
-		return result{outcome: carawaycart.OutcomeNotRun, cause: caller.CauseEndpointRefused, detail: err.Error()}, true
+		return result{outcome: carawaycart.OutcomeNotRun, cause: caller.CauseEndpointRefused, detail: err.Error()}, j.body == nil
 	case err != nil:
 		s.permits.Release(p, false)
 		return s.lostResult(ctx, j, err)
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -29,6 +29,8 @@
 	// sent to, and that relay it to the peers of their zone.
 	relaysPerZone = 2
 
+	readFailurePause = time.Millisecond // time after a failed read of a datagram
+
 	fetchTimeout = 1500 * time.Millisecond // limits a request for a snapshot
 
 	// minRelayAdvance limits the relaying of updates without changes. Such an update
@@ -74,7 +76,10 @@
 				if isClosed(err) {
 					return
 				}
-				continue // the error may be an ICMP error caused by an earlier send
+				// The error may be an ICMP error caused by an earlier send. One that lasts
+				// must not occupy the processor.
+				time.Sleep(readFailurePause)
+				continue
 			}
 			d.receive(buf[:n], from)
 		}
@@ -218,6 +223,7 @@
 // has, it fetches a snapshot instead. A datagram that is malformed or was sent by
 // this instance is logged and ignored.
 func (d *Disseminator) receive(data []byte, from netip.AddrPort) {
+	defer logPanic(d.log, from.String())
 	update := &message.DirectoryNews{}
 	if err := proto.Unmarshal(data, update); err != nil || update.GetFrom() == "" || update.GetFrom() == string(d.self) {
 		d.log.Event("newsRefused").Text("peer", from.String()).Err(err).End()
--- /dev/null
+++ b/internal/edge/disseminator_test.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"carawaycart"
+	"carawaycart/core/steer"
+	"carawaycart/io/peer"
+	"carawaycart/message"
+	"carawaycart/platform"
+)
+
+// newTestDisseminator returns a disseminator of an instance that has read the store at
+// revision 10, with one endpoint.
+func newTestDisseminator(tb testing.TB) (*Disseminator, *View) {
+	tb.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	clock := carawaycart.NewMonotonicClock()
+	counters := NewCounters()
+	prober := NewProber(clock, counters, nil)
+	o := &observer{counters: counters, prober: prober}
+	r := steer.NewRouter("a", rand.NewPCG(1, 1), o)
+	prober.router = r
+	prober.reset, prober.notifySilent = func([]carawaycart.Packet) {}, func(carawaycart.Token) {}
+	v := NewView("self", steer.ColdLimits{}, r, clock, nil)
+	own := carawaycart.Registration{ID: "self", Zone: "a", PeerAddress: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
+	store := platform.NewStore("http://127.0.0.1:1", nil)
+	client := peer.NewClient(counters)
+	d := NewDisseminator("self", "a", v, r, conn, client, NewRegistrar(own, store, v, clock, nil), clock, nil)
+	o.disseminator = d
+	v.ApplyRead(platform.RangeResult{Revision: 10, Items: []carawaycart.StoreItem{{
+		Key: "servers/i-1", Revision: 9,
+		Value: []byte(`{"service":"desk","address":"127.0.0.1:9","zone":"a","slots":2,"state":"ready","cold_left_ms":0}`),
+	}}}, clock.Now())
+	tb.Cleanup(func() {
+		d.Close()
+		prober.Close()
+		client.Close()
+		store.Close()
+	})
+	return d, v
+}
+
+// Guards against a datagram that ends the process, moves the clock of reads into the
+// future, or removes what the instance has read, whatever it holds.
+func FuzzReceive(f *testing.F) {
+	seed := func(n *message.DirectoryNews) {
+		data, err := proto.Marshal(n)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	seed(&message.DirectoryNews{From: "n", FromRevision: 10, ToRevision: 11, AgeMs: 1})
+	seed(&message.DirectoryNews{From: "n", FromRevision: 1 << 63, ToRevision: 1<<64 - 1, AgeMs: 1<<32 - 1, TroubleMs: 1<<32 - 1})
+	seed(&message.DirectoryNews{From: "n", SilentTokens: []uint32{0, 1, 1<<32 - 1}})
+	seed(&message.DirectoryNews{From: "n", Outcomes: []*message.EndpointOutcomes{{Token: 1, Failed: 1<<32 - 1, Answered: 1<<32 - 1}, nil}})
+	seed(&message.DirectoryNews{From: "n", FailedRead: true, Relay: true})
+	seed(&message.DirectoryNews{From: "n", FromRevision: 10, ToRevision: 12, Relay: true, Items: []*message.StoreItem{{Key: "servers/i-2", Value: []byte("{"), Revision: 12}}})
+	f.Add([]byte("\xff\xff"))
+	d, v := newTestDisseminator(f)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	f.Fuzz(func(t *testing.T, data []byte) {
+		before := v.State()
+		d.receive(data, from)
+		after := v.State()
+		if after.LastReadAt.After(d.clock.Now()) {
+			t.Errorf("got a last read in the future, at %v", after.LastReadAt)
+		}
+		if after.Revision < before.Revision {
+			t.Errorf("got revision %d after %d", after.Revision, before.Revision)
+		}
+	})
+}
+
+// Guards against a registration that is written with others although the store refuses
+// it, so that none of them is ever registered.
+func TestInvalidRegistrationIsRefused(t *testing.T) {
+	d, _ := newTestDisseminator(t)
+	for _, r := range []*message.DirectoryRequest{
+		{Id: string(make([]byte, 300)), Zone: "a", PeerAddress: "10.0.0.1:1"},
+		{Id: "n", Zone: "", PeerAddress: "10.0.0.1:1"},
+		{Id: "n", Zone: "a", PeerAddress: "10.0.0.1:0"},
+		{Id: "n", Zone: "a", PeerAddress: "[2001:db8::1]:7"},
+		{Id: "n", Zone: "a", PeerAddress: "?"},
+	} {
+		if _, err := d.Directory(r); err == nil {
+			t.Errorf("got no error for the registration %v", r)
+		}
+	}
+	if _, err := d.Directory(&message.DirectoryRequest{Id: "n", Zone: "a", PeerAddress: "10.0.0.1:1"}); err != nil {
+		t.Error(err)
+	}
+	if got := d.registrar.requested; len(got) != 1 {
+		t.Errorf("got registrations %v requested, want one", got)
+	}
+}
+
+// Guards against a panic in the handling of one datagram that ends the process.
+func TestPanicOfDatagramIsLogged(t *testing.T) {
+	d, v := newTestDisseminator(t)
+	d.router = nil // a fault that only one kind of message meets
+	data, err := proto.Marshal(&message.DirectoryNews{From: "n", SilentTokens: []uint32{1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.receive(data, netip.MustParseAddrPort("127.0.0.1:9"))
+	if got := v.State().Revision; got != 10 {
+		t.Errorf("got revision %d after the panic, want 10", got)
+	}
+}
+
+// Guards against a damaged revision after which every read of the store counts as old,
+// so that the instance follows no change any more.
+func TestDamagedRevisionIsRefused(t *testing.T) {
+	d, v := newTestDisseminator(t)
+	data, err := proto.Marshal(&message.DirectoryNews{From: "n", FromRevision: 10, ToRevision: 1<<64 - 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.receive(data, netip.MustParseAddrPort("127.0.0.1:9"))
+	v.ApplyRead(platform.RangeResult{Revision: 12}, d.clock.Now())
+	if got := v.State().Revision; got != 12 {
+		t.Errorf("got revision %d after a read at revision 12", got)
+	}
+}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -91,7 +91,7 @@
 	backlog := &steer.Backlog{}
 	newTranslator := func() fabric.Translator {
 		return &translator{
-			router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger, backlog: backlog,
+			router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger, backlog: backlog, log: log,
 		}
 	}
 	e.backlogSender = newBacklogSender(backlog, e.router, newTranslator(), sockets.Fabric, clock, log)
--- a/internal/edge/translator.go
+++ b/internal/edge/translator.go
@@ -7,6 +7,7 @@
 
 	"carawaycart"
 	"carawaycart/core/steer"
+	"carawaycart/internal/eventlog"
 	"carawaycart/platform"
 )
 
@@ -19,7 +20,8 @@
 	resetPort  uint16        // fabric port of callers, to which resets are sent
 	lastPacket *atomic.Int64 // time of the last packet, in Unix nanoseconds of clock
 	hedger     *Hedger
-	backlog    *steer.Backlog     // holds packets until the router has a configuration
+	backlog    *steer.Backlog // holds packets until the router has a configuration
+	log        *eventlog.Log
 	packet     carawaycart.Packet // decoded packet, reused between calls
 }
 
@@ -35,6 +37,7 @@
 // a reset for the caller. The result lies in b. It returns false if nothing is to be
 // sent.
 func (t *translator) Translate(b []byte) ([]byte, netip.AddrPort, bool) {
+	defer logPanic(t.log, "fabric")
 	began := time.Now()
 	p, data := &t.packet, b[platform.EndpointNumberBytes:]
 	if fault := platform.DecodePacket(data, p); fault != carawaycart.FaultNone {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,6 +19,11 @@
 // than a second apart.
 const maxReadGap = 2500 * time.Millisecond
 
+// maxRevisionAdvance is the largest difference between the view's revision and that of
+// an update or snapshot that is believed. A revision that was damaged would otherwise make
+// the view take every later read for an old one.
+const maxRevisionAdvance = 1 << 32
+
 // View is the instance's replica of the platform's store. It rebuilds the router's
 // table when the replica changes. It is safe for concurrent use.
 type View struct {
@@ -101,6 +107,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	before := v.directory.Revision()
+	if !v.believes(delta.To) {
+		return true // nothing that a snapshot could mend
+	}
 	if !v.directory.ApplyDelta(delta) {
 		return false
 	}
@@ -115,6 +124,9 @@
 func (v *View) ApplySnapshot(snapshot directory.Snapshot, from string, began time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.believes(snapshot.Revision) {
+		return
+	}
 	endedAdded := v.tracker.RecordEnded(snapshot.Ended, v.clock.Now())
 	changed := v.directory.ApplySnapshot(snapshot) || endedAdded
 	if snapshot.Revision >= v.directory.Revision() {
@@ -124,6 +136,17 @@
 	}
 }
 
+// believes reports whether r, which a peer has sent, may be a revision of the store. It
+// logs one that is not. v.mu must be held.
+func (v *View) believes(r carawaycart.StoreRevision) bool {
+	own := v.directory.Revision()
+	if own == 0 || r <= own || r-own <= maxRevisionAdvance {
+		return true
+	}
+	v.log.Event("revisionRefused").Text("received", strconv.FormatUint(uint64(r), 10)).Text("own", strconv.FormatUint(uint64(own), 10)).End()
+	return false
+}
+
 // recordRead records that the directory is complete up to a read of the store that
 // began at began. It rebuilds the router's table if the directory has changed, or
 // if a lifetime is lapsed, since it may end without such a change. The source is the
--- a/io/fabric/port.go
+++ b/io/fabric/port.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/net/ipv4"
@@ -15,6 +16,9 @@
 	batchSize          = 32      // datagrams per system call
 	maxDatagramBytes   = 9216    // receive buffer of a datagram: the size of a jumbo frame
 	maxCachedAddresses = 1 << 16 // destinations cached per thread, after which the cache is cleared
+
+	maxReadFailures  = 32                    // consecutive failed reads before a pause
+	readFailurePause = 10 * time.Millisecond // time between failed reads after that
 )
 
 // Handler selects the destinations of packets. Its methods must be safe for
@@ -137,14 +141,21 @@
 
 // run forwards datagrams until the socket is closed.
 func (f *forwarder) run() {
+	failures := 0 // consecutive failed reads
 	for {
 		n, err := f.conn.ReadBatch(f.received, 0)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
-			continue // the kernel reports an ICMP error that an earlier send caused
+			// The kernel reports an ICMP error that an earlier send caused. An error that
+			// lasts must not occupy the processor.
+			if failures++; failures > maxReadFailures {
+				time.Sleep(readFailurePause)
+			}
+			continue
 		}
+		failures = 0
 		f.outgoing = f.outgoing[:0]
 		for i := range f.received[:n] {
 			f.enqueue(f.buffers[i][:f.headroom+f.received[i].N])
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -43,16 +43,16 @@
 }
 
 // isConnectionFailure reports whether err means that a call failed because its
-// connection was closed or corrupted. It returns false for nil, for the end of the
-// context, for an error that the peer returned, and for a net.OpError such as a
-// failed dial.
+// connection was closed, reset or corrupted. It returns false for nil, for the end of the
+// context, for an error that the peer returned, and for a failed dial.
 func isConnectionFailure(err error) bool {
 	if err == nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return false
 	}
 	var peerErr rpc.ServerError
 	var opErr *net.OpError
-	return !errors.As(err, &peerErr) && !errors.As(err, &opErr)
+	dialFailed := errors.As(err, &opErr) && opErr.Op == "dial"
+	return !errors.As(err, &peerErr) && !dialFailed
 }
 
 func (c *Client) call(ctx context.Context, address netip.AddrPort, method string, args, reply proto.Message) error {
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/rpc"
+	"strings"
 	"sync"
 
 	"github.com/juju/errors"
@@ -76,13 +77,21 @@
 	return c.options.UnmarshalFrom(c.reader, h)
 }
 
-// readBody reads a body into body, or discards it if body is nil.
+// readBody reads a body into body, or discards it if body is nil. It closes the
+// connection if the body exceeds maxMessageBytes, since net/rpc would read the unread body
+// as the next header.
 func (c *codec) readBody(body any) error {
 	m, ok := body.(proto.Message)
 	if !ok {
 		m = &message.Acknowledgement{} // net/rpc passes nil to discard the body of a failed call
 	}
-	return errors.Annotate(c.options.UnmarshalFrom(c.reader, m), "read body")
+	err := c.options.UnmarshalFrom(c.reader, m)
+	var tooLarge *protodelim.SizeTooLargeError
+	if errors.As(err, &tooLarge) {
+		_ = c.conn.Close()
+		c.reader.Reset(c.conn)
+	}
+	return errors.Annotate(err, "read body")
 }
 
 // Close closes the connection.
@@ -130,6 +139,7 @@
 	text := r.Error
 	if len(text) > maxErrorBytes {
 		text = text[:maxErrorBytes]
+		text = strings.ToValidUTF8(text, "") // a character may have been cut, and protobuf refuses parts of one
 	}
 	return c.write(&message.CallHeader{Method: r.ServiceMethod, Sequence: r.Seq, Error: text}, body)
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -1,14 +1,20 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protodelim"
+
 	"carawaycart/io/peer"
 	"carawaycart/message"
 )
@@ -86,6 +92,106 @@
 	}
 }
 
+// failingHandler is a Handler whose calls fail with a text, or panic.
+type failingHandler struct {
+	peer.Handler
+	text string
+}
+
+func (h *failingHandler) Finish(*message.Claim) error { return errors.New(h.text) }
+
+func (h *failingHandler) Exchange(*message.Exchange) (*message.Exchange, error) { panic("broken") }
+
+// An error text may be cut within a character. Guards against a reply that cannot be
+// encoded then, so that the caller waits for its timeout and loses the connection.
+func TestLongErrorTextIsCutAtCharacter(t *testing.T) {
+	address := serve(t, &failingHandler{text: strings.Repeat("x", 255) + "\u00e6rlig"})
+	client := peer.NewClient(discardMeter{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := client.Call(ctx, address, "Finish", &message.Claim{}, &message.Acknowledgement{})
+	if err == nil || !strings.HasSuffix(err.Error(), strings.Repeat("x", 255)) {
+		t.Errorf("got error %v, want the text without the character that was cut", err)
+	}
+}
+
+// Guards against a call that ends the whole process because its handler panics.
+func TestPanicOfHandlerIsAnError(t *testing.T) {
+	address := serve(t, &failingHandler{})
+	client := peer.NewClient(discardMeter{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	err := client.Call(ctx, address, "Exchange", &message.Exchange{}, &message.Exchange{})
+	if err == nil || !strings.Contains(err.Error(), "broken") {
+		t.Errorf("got error %v, want one that tells of the panic", err)
+	}
+}
+
+// Guards against reading the body that was refused for its size as further calls: the
+// connection has to be closed.
+func TestOversizedBodyClosesConnection(t *testing.T) {
+	h := &fakeHandler{}
+	address := serve(t, h)
+	conn, err := net.Dial("tcp", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	var call bytes.Buffer
+	for n := range 2 {
+		if _, err := protodelim.MarshalTo(&call, &message.CallHeader{Method: "Peer.Exchange", Sequence: uint64(n)}); err != nil {
+			t.Fatal(err)
+		}
+		if n == 0 {
+			call.Write(binary.AppendUvarint(nil, 1<<30)) // the length of a body that does not follow
+			continue
+		}
+		if _, err := protodelim.MarshalTo(&call, &message.Exchange{From: "smuggled"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := conn.Write(call.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Errorf("got %v, want the connection closed", err)
+	}
+	if got := h.calls.Load(); got != 0 {
+		t.Errorf("got %d calls run, want none", got)
+	}
+}
+
+// Guards against a call that fails because the peer has reset an idle connection, as a
+// peer does that has restarted at the same address.
+func TestCallRetriesOnResetConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns := make(chan net.Conn, 8)
+	s, err := peer.NewServer(&connListener{Listener: listener, conns: conns}, &fakeHandler{}, discardMeter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	client := peer.NewClient(discardMeter{})
+	defer client.Close()
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	for n := range 2 {
+		if err := client.Call(t.Context(), address, "Exchange", &message.Exchange{From: "a"}, &message.Exchange{}); err != nil {
+			t.Errorf("call %d: %v", n, err)
+		}
+		if n == 0 {
+			conn := (<-conns).(*net.TCPConn)
+			_ = conn.SetLinger(0) // closing resets the connection
+			_ = conn.Close()
+		}
+	}
+}
+
 // connListener is a listener that sends each accepted connection to conns.
 type connListener struct {
 	net.Listener
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -37,10 +37,13 @@
 // service adapts a Handler to the method signatures of net/rpc.
 type service struct{ handler Handler }
 
-// copyReply copies result, which a Handler returned, to reply, which net/rpc
-// allocated. It uses copyFields, since protobuf messages must not be copied by
-// assignment. If err is not nil, it returns err instead.
-func copyReply[M any](reply *M, result *M, err error, copyFields func(dst, src *M)) error {
+// answer copies what handle returns to reply, which net/rpc allocated. It uses
+// copyFields, since protobuf messages must not be copied by assignment. If handle
+// returns an error or panics, it returns that as an error instead: net/rpc does not
+// recover, and one message must not end the process.
+func answer[M any](reply *M, handle func() (*M, error), copyFields func(dst, src *M)) (err error) {
+	defer recoverAsError(&err)
+	result, err := handle()
 	if err != nil {
 		return err
 	}
@@ -48,11 +51,24 @@
 	return nil
 }
 
+// run returns what handle returns, or its panic, as an error.
+func run(handle func() error) (err error) {
+	defer recoverAsError(&err)
+	return handle()
+}
+
+// recoverAsError sets err if the function that deferred it panics.
+func recoverAsError(err *error) {
+	if p := recover(); p != nil {
+		*err = errors.Errorf("panic: %v", p)
+	}
+}
+
 // Exchange serves Handler.Exchange. It does not copy the fields that only probes
 // have.
 func (s *service) Exchange(args, reply *message.Exchange) error {
-	result, err := s.handler.Exchange(args)
-	return copyReply(reply, result, err, func(d, r *message.Exchange) {
+	handle := func() (*message.Exchange, error) { return s.handler.Exchange(args) }
+	return answer(reply, handle, func(d, r *message.Exchange) {
 		d.Self, d.Members, d.Statuses, d.Changes = r.Self, r.Members, r.Statuses, r.Changes
 		d.MemberDigest, d.StatusDigest, d.From = r.MemberDigest, r.StatusDigest, r.From
 	})
@@ -60,43 +76,43 @@
 
 // Pull serves Handler.Pull.
 func (s *service) Pull(args *message.PullRequest, reply *message.PullReply) error {
-	result, err := s.handler.Pull(args)
-	return copyReply(reply, result, err, func(d, r *message.PullReply) {
+	handle := func() (*message.PullReply, error) { return s.handler.Pull(args) }
+	return answer(reply, handle, func(d, r *message.PullReply) {
 		d.Snapshot, d.Changes, d.Exchange, d.Records, d.Claims = r.Snapshot, r.Changes, r.Exchange, r.Records, r.Claims
 	})
 }
 
 // Records serves Handler.Records.
 func (s *service) Records(args *message.RecordBatch, _ *message.Acknowledgement) error {
-	return s.handler.Records(args)
+	return run(func() error { return s.handler.Records(args) })
 }
 
 // Begin serves Handler.Begin.
 func (s *service) Begin(args *message.Claim, reply *message.ClaimReply) error {
-	result, err := s.handler.Begin(args)
-	return copyReply(reply, result, err, func(d, r *message.ClaimReply) { d.Verdict, d.Claim = r.Verdict, r.Claim })
+	handle := func() (*message.ClaimReply, error) { return s.handler.Begin(args) }
+	return answer(reply, handle, func(d, r *message.ClaimReply) { d.Verdict, d.Claim = r.Verdict, r.Claim })
 }
 
 // Finish serves Handler.Finish.
 func (s *service) Finish(args *message.Claim, _ *message.Acknowledgement) error {
-	return s.handler.Finish(args)
+	return run(func() error { return s.handler.Finish(args) })
 }
 
 // Copy serves Handler.Copy.
 func (s *service) Copy(args *message.ClaimBatch, reply *message.ClaimCopies) error {
-	result, err := s.handler.Copy(args)
-	return copyReply(reply, result, err, func(d, r *message.ClaimCopies) { d.Conflicts = r.Conflicts })
+	handle := func() (*message.ClaimCopies, error) { return s.handler.Copy(args) }
+	return answer(reply, handle, func(d, r *message.ClaimCopies) { d.Conflicts = r.Conflicts })
 }
 
 // Acquire serves Handler.Acquire.
 func (s *service) Acquire(args *message.AcquireRequest, reply *message.AcquireReply) error {
-	result, err := s.handler.Acquire(args)
-	return copyReply(reply, result, err, func(d, r *message.AcquireReply) { d.Granted, d.State = r.Granted, r.State })
+	handle := func() (*message.AcquireReply, error) { return s.handler.Acquire(args) }
+	return answer(reply, handle, func(d, r *message.AcquireReply) { d.Granted, d.State = r.Granted, r.State })
 }
 
 // Release serves Handler.Release.
 func (s *service) Release(args *message.ReleaseRequest, _ *message.Acknowledgement) error {
-	return s.handler.Release(args)
+	return run(func() error { return s.handler.Release(args) })
 }
 
 // DirectoryHandler answers the calls of peers that replicate a directory. Its method
@@ -112,8 +128,8 @@
 
 // Directory serves DirectoryHandler.Directory.
 func (s *directoryService) Directory(args *message.DirectoryRequest, reply *message.DirectoryCopy) error {
-	result, err := s.handler.Directory(args)
-	return copyReply(reply, result, err, func(d, r *message.DirectoryCopy) {
+	handle := func() (*message.DirectoryCopy, error) { return s.handler.Directory(args) }
+	return answer(reply, handle, func(d, r *message.DirectoryCopy) {
 		d.AtRevision, d.AgeMs, d.CompressedBody = r.AtRevision, r.AgeMs, r.CompressedBody
 	})
 }
--- a/message/convert_test.go
+++ b/message/convert_test.go
@@ -1,6 +1,8 @@
 package message_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -93,3 +95,29 @@
 		t.Error("no mutated batch was refused, so the test does not cover invalid batches")
 	}
 }
+
+// Guards against a snapshot that is cut without an error because its body decompresses to
+// more than the limit.
+func TestToSnapshotRefusesOversizedBody(t *testing.T) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := proto.Marshal(&message.DirectoryBody{Keys: []string{"ab"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body = bytes.Repeat(body, 1<<18) // the limit of 64 MiB falls between two keys
+	for range 65 {
+		if _, err := w.Write(body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if s, err := message.ToSnapshot(&message.DirectoryCopy{AtRevision: 1, CompressedBody: b.Bytes()}); err == nil {
+		t.Errorf("got a snapshot with %d keys, want an error", len(s.Keys))
+	}
+}
--- a/message/directory.go
+++ b/message/directory.go
@@ -69,12 +69,15 @@
 }
 
 // ToSnapshot returns the snapshot in m. The error is NotValid if the body cannot be
-// decompressed or decoded.
+// decompressed or decoded, or exceeds maxBodyBytes.
 func ToSnapshot(m *DirectoryCopy) (directory.Snapshot, error) {
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.GetCompressedBody())), maxBodyBytes))
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.GetCompressedBody())), maxBodyBytes+1))
 	if err != nil {
 		return directory.Snapshot{}, errors.NewNotValid(err, "compressed directory snapshot")
 	}
+	if len(data) > maxBodyBytes {
+		return directory.Snapshot{}, errors.NotValidf("directory snapshot of more than %d bytes", maxBodyBytes)
+	}
 	body := &DirectoryBody{}
 	if err := proto.Unmarshal(data, body); err != nil {
 		return directory.Snapshot{}, errors.NewNotValid(err, "directory snapshot")
