--- a/core/directory/schedule.go
+++ b/core/directory/schedule.go
@@ -42,22 +42,22 @@
 	// the other instances. A read takes up to 120 ms on a 10 Mbit/s link.
 	OverdueRead = 250 * time.Millisecond
 
-	// An instance whose own read has failed waits for retryPeriod before the next. The
-	// time doubles with each further failure, up to maxRetryPeriod.
-	retryPeriod       = 400 * time.Millisecond
+	// RetryPeriod is the time for which an instance waits after its own read has failed.
+	// The time doubles with each further failure, up to maxRetryPeriod.
+	RetryPeriod       = 400 * time.Millisecond
 	maxRetryPeriod    = 2 * time.Second
 	maxRetryDoublings = 6 // prevents an overflow before maxRetryPeriod applies
 )
 
 // ReadState is what an instance knows when it decides when to read the store.
 type ReadState struct {
-	Self        carawaycart.InstanceID
-	Zone        carawaycart.ZoneID
-	Instances   []carawaycart.Registration // instances listed in the store
-	Listed      bool                       // whether Self counts as listed even if it is not in Instances
-	LastReadAt  time.Time                  // start of the last known read by any instance
-	Failures    FailedReads                // failed reads by any instance
-	OwnFailures int                        // consecutive failed reads of Self
+	Self       carawaycart.InstanceID
+	Zone       carawaycart.ZoneID
+	Instances  []carawaycart.Registration // instances listed in the store
+	Listed     bool                       // whether Self counts as listed even if it is not in Instances
+	LastReadAt time.Time                  // start of the last known read by any instance
+	Failures   FailedReads                // failed reads by any instance
+	RetryAt    time.Time                  // when Self may read again after a failed read of its own
 }
 
 // FailedReads holds the failed reads of a fleet that an instance knows of. The zero value
@@ -114,10 +114,7 @@
 		pause := time.Duration(min(n, maxFailedReadFactor)) * failedReadDelay
 		next = later(next, s.Failures.last.Add(pause+delay))
 	}
-	if s.OwnFailures > 0 {
-		next = later(next, now.Add(Backoff(retryPeriod, s.OwnFailures)))
-	}
-	return next
+	return later(next, s.RetryAt)
 }
 
 // Backoff returns the delay after the given number of consecutive failures. It is zero
--- a/core/directory/schedule_test.go
+++ b/core/directory/schedule_test.go
@@ -94,6 +94,7 @@
 type reader struct {
 	state    directory.ReadState
 	nextRead time.Time
+	failures int       // consecutive failed reads
 	endsAt   time.Time // end of its read in progress; zero if there is none
 }
 
@@ -119,9 +120,7 @@
 					continue
 				}
 				r.state.Failures.RecordFailure(notices[0].from, now)
-				if r.state.OwnFailures == 0 {
-					r.nextRead = directory.NextRead(&r.state, now)
-				}
+				r.nextRead = directory.NextRead(&r.state, now)
 			}
 			notices = notices[1:]
 		}
@@ -129,7 +128,8 @@
 			switch {
 			case !r.endsAt.IsZero() && !now.Before(r.endsAt):
 				r.endsAt = time.Time{}
-				r.state.OwnFailures++
+				r.failures++
+				r.state.RetryAt = now.Add(directory.Backoff(directory.RetryPeriod, r.failures))
 				r.state.Failures.RecordFailure(r.state.Self, now)
 				r.nextRead = directory.NextRead(&r.state, now)
 			case r.endsAt.IsZero() && !now.Before(r.nextRead) && !now.Before(up):
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -48,6 +48,7 @@
 
 	firstRead time.Time // when the store is first read if no seed has answered
 	failures  int       // consecutive failed reads
+	retryAt   time.Time // when the store may be read again after a failed read
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
 }
@@ -111,7 +112,9 @@
 		case <-renewed:
 		case <-t.C:
 		}
-		if !r.view.State().LastReadAt.Equal(state.LastReadAt) {
+		// Reads and failed reads of peers have moved the time meanwhile.
+		state = r.view.State()
+		if r.nextRead(&state).After(r.clock.Now()) {
 			r.registrar.Reconcile(ctx)
 			return
 		}
@@ -123,14 +126,13 @@
 // nextRead returns the time at which the instance reads the store, unless it learns
 // of a read by a peer before that time.
 func (r *Reader) nextRead(state *State) time.Time {
-	now := r.clock.Now()
 	if state.LastReadAt.IsZero() {
-		return laterTime(r.firstRead, now.Add(directory.Backoff(firstReadRetryPeriod, r.failures)))
+		return laterTime(r.firstRead, r.retryAt)
 	}
 	return directory.NextRead(&directory.ReadState{
 		Self: r.self, Zone: r.zone, Instances: state.Instances, Listed: r.registrar.Written(),
-		LastReadAt: state.LastReadAt, Failures: state.FailedReads, OwnFailures: r.failures,
-	}, now)
+		LastReadAt: state.LastReadAt, Failures: state.FailedReads, RetryAt: r.retryAt,
+	}, r.clock.Now())
 }
 
 // read reads the store into the view and broadcasts the delta to peers. A failure is
@@ -151,6 +153,11 @@
 		r.view.RecordStoreFailure(now)
 		r.view.RecordFailedRead(r.self, now)
 		r.failures++
+		period := directory.RetryPeriod
+		if r.view.State().LastReadAt.IsZero() {
+			period = firstReadRetryPeriod
+		}
+		r.retryAt = now.Add(directory.Backoff(period, r.failures))
 		r.log.Event("storeFailed").Int("failures", int64(r.failures)).Millis("tookMs", now.Sub(began)).Err(err).End()
 		if overdue.Stop() {
 			r.disseminator.BroadcastFailedRead()
@@ -160,7 +167,7 @@
 	if r.failures > 0 {
 		r.log.Event("storeRegained").Int("failures", int64(r.failures)).Int("revision", int64(read.Revision)).End()
 	}
-	r.failures = 0
+	r.failures, r.retryAt = 0, time.Time{}
 	delta := r.view.ApplyRead(read, began)
 	r.log.Event("read").Int("revision", int64(read.Revision)).Int("written", int64(len(delta.Items))).
 		Int("missing", int64(len(delta.RemovedKeys))).Millis("tookMs", now.Sub(began)).End()
