Give each request to an endpoint a connection of its own

Cause (operators' report): HTTP/1.1 matches answers to requests by order alone. Change: no keep-alive to endpoints, for requests and load reports. Ruled out: comparing an echoed request id, which endpoints need not send.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	maxReportBytes          = 64 << 10 // of a load report; the rest is not read
-	dialTimeout             = time.Second
-	maxIdleConnsPerEndpoint = 8
+	maxReportBytes = 64 << 10 // of a load report; the rest is not read
+	dialTimeout    = time.Second
 )
 
 // NotRunHeader is the response header that an endpoint sets, to any value, if it did
@@ -30,14 +29,17 @@
 
 // NewClient returns a Client. It does not follow redirects, and leaves compressed
 // responses as they are.
+//
+// Each request has a connection of its own. HTTP/1.1 matches answers to requests by
+// their order alone, so an endpoint that repeats an answer would have the copy taken for
+// the answer to the next request on the connection.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{&http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
