--- a/core/steer/admission.go
+++ b/core/admission/controller.go
@@ -1,4 +1,4 @@
-package steer
+package admission
 
 import (
 	"cmp"
@@ -9,14 +9,15 @@
 	"github.com/cespare/xxhash/v2"
 
 	"carawaycart"
+	"carawaycart/core/timeout"
 )
 
 const (
-	// slowWindow is the minimum time between changes of Admission.refusedShare. An
+	// slowWindow is the minimum time between changes of Controller.refusedShare. An
 	// endpoint takes about twice as long to process the requests in its queue.
 	slowWindow = 50 * time.Millisecond
 	// lateWindow is the minimum time between changes of
-	// Admission.urgentRefusedShare; most answers take less.
+	// Controller.urgentRefusedShare; most answers take less.
 	lateWindow = 200 * time.Millisecond
 	// maxWindow is the age at which a window ends even with too few answers for
 	// its share of bad ones to be meaningful; the share then counts as zero.
@@ -28,9 +29,9 @@
 	// underloadShare is the share of slow answers below which the endpoints have
 	// spare capacity.
 	underloadShare = 0.15
-	slowSmoothing  = 0.5 // weight of the earlier windows in Admission.slowShare
+	slowSmoothing  = 0.5 // weight of the earlier windows in Controller.slowShare
 
-	// After every slowWindow, Admission.refusedShare grows or shrinks. Above
+	// After every slowWindow, Controller.refusedShare grows or shrinks. Above
 	// overloadShare, it grows by refusalIncrease and by refusalGain for each unit of
 	// the share of slow answers beyond overloadShare. Below underloadShare, it
 	// shrinks by underloadRefusalDecrease, and in between by refusalDecrease.
@@ -41,7 +42,7 @@
 
 	// lateShare is the share of late answers to the most urgent requests above which
 	// some of their flows are refused too. After every lateWindow,
-	// Admission.urgentRefusedShare grows by urgentRefusalGain for each unit beyond
+	// Controller.urgentRefusedShare grows by urgentRefusalGain for each unit beyond
 	// lateShare, or else shrinks by urgentRefusalDecrease.
 	lateShare             = 0.4
 	urgentRefusalGain     = 0.25
@@ -72,9 +73,15 @@
 	refusingBaselinePeriod = 30 * time.Second
 	arrivalDecay           = 0.95        // factor applied to the counts of new flows after every slowWindow
 	overloadReportPeriod   = time.Second // minimum time between reports of a lasting overload
+
+	// Limits of the timeout for answers to requests, and its value before the first
+	// answer. Processing times vary widely.
+	minAnswerTimeout     = 150 * time.Millisecond
+	maxAnswerTimeout     = time.Second
+	initialAnswerTimeout = 500 * time.Millisecond
 )
 
-// Admission decides which new flows of a service are refused while its endpoints
+// Controller decides which new flows of a service are refused while its endpoints
 // cannot answer in time. It is safe for concurrent use; the zero value admits all
 // flows.
 //
@@ -88,17 +95,17 @@
 // requests, which cannot be refused later. While there are new flows of less urgent
 // classes, those of the most urgent class are refused only if answers to its own
 // requests are late, which is beyond the target, and in smaller steps.
-type Admission struct {
+type Controller struct {
 	mu                 sync.Mutex
-	slow               answerWindow     // all requests; slow ones are bad
-	late               answerWindow     // requests of the most urgent class; late ones are bad
-	slowShare          float64          // share of slow answers, smoothed over the windows
-	refusedShare       float64          // share of the new flows of the less urgent classes that is refused
-	urgentRefusedShare float64          // share of the new flows of the most urgent class that is refused
-	classes            []class          // ordered by urgency, the least urgent first
-	answerTimes        timeoutEstimator // times of all answers, from which answerTimeout is estimated
-	reportedAt         time.Time        // when report last returned true
-	refusing           bool             // whether flows were refused at reportedAt
+	slow               answerWindow      // all requests; slow ones are bad
+	late               answerWindow      // requests of the most urgent class; late ones are bad
+	slowShare          float64           // share of slow answers, smoothed over the windows
+	refusedShare       float64           // share of the new flows of the less urgent classes that is refused
+	urgentRefusedShare float64           // share of the new flows of the most urgent class that is refused
+	classes            []class           // ordered by urgency, the least urgent first
+	answerTimes        timeout.Estimator // times of all answers, from which AnswerTimeout is estimated
+	reportedAt         time.Time         // when Report last returned true
+	refusing           bool              // whether flows were refused at reportedAt
 }
 
 // class holds the measurements of the requests of one priority and the resulting
@@ -122,7 +129,9 @@
 
 func (w *answerWindow) record(bad bool) {
 	w.answers++
-	w.bad += boolToInt(bad)
+	if bad {
+		w.bad++
+	}
 }
 
 // finish ends the window at now if it is at least period old and has either enough
@@ -140,17 +149,17 @@
 	return share, true
 }
 
-// answerTimeout returns the time after which a request without an answer counts as
+// AnswerTimeout returns the time after which a request without an answer counts as
 // failed.
-func (a *Admission) answerTimeout() time.Duration {
+func (a *Controller) AnswerTimeout() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.answerTimes.timeout(initialAnswerTimeout, minAnswerTimeout, maxAnswerTimeout)
+	return a.answerTimes.Timeout(initialAnswerTimeout, minAnswerTimeout, maxAnswerTimeout)
 }
 
 // class returns the class with the given priority and adds it if it is new. The
 // pointer is valid until the next class is added. a.mu must be held.
-func (a *Admission) class(priority int) *class {
+func (a *Controller) class(priority int) *class {
 	i, ok := slices.BinarySearchFunc(a.classes, priority, func(c class, p int) int { return cmp.Compare(p, c.priority) })
 	if !ok {
 		a.classes = slices.Insert(a.classes, i, class{priority: priority})
@@ -178,14 +187,14 @@
 // SlowThreshold returns the answer time above which a request of the given priority
 // and target is slow. It is the target if no request of this priority was answered
 // yet.
-func (a *Admission) SlowThreshold(priority int, target time.Duration) time.Duration {
+func (a *Controller) SlowThreshold(priority int, target time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.class(priority).slowThreshold(target)
 }
 
 // RecordSlow records that a request reached its SlowThreshold unanswered at now.
-func (a *Admission) RecordSlow(now time.Time) {
+func (a *Controller) RecordSlow(now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closeWindows(now)
@@ -195,11 +204,11 @@
 // RecordAnswer records at now that a request of the given priority and target was
 // answered after the time took. The argument slow tells whether RecordSlow was called
 // for the request before.
-func (a *Admission) RecordAnswer(priority int, took, target time.Duration, slow bool, now time.Time) {
+func (a *Controller) RecordAnswer(priority int, took, target time.Duration, slow bool, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closeWindows(now)
-	a.answerTimes.observe(took)
+	a.answerTimes.Observe(took)
 	c := a.class(priority)
 	if !slow {
 		a.slow.record(took > c.slowThreshold(target))
@@ -232,7 +241,7 @@
 
 // closeWindows ends the windows that are due at now, and adjusts the shares of refused
 // flows by the shares of bad answers in them. a.mu must be held.
-func (a *Admission) closeWindows(now time.Time) {
+func (a *Controller) closeWindows(now time.Time) {
 	if late, ended := a.late.finish(now, lateWindow, minLateAnswers); ended {
 		if late > lateShare {
 			a.urgentRefusedShare = min(a.urgentRefusedShare+urgentRefusalGain*(late-lateShare), maxUrgentRefusedShare)
@@ -262,7 +271,7 @@
 // mostUrgent returns the index in classes of the most urgent class that has more than
 // minTrafficShare of the new flows. It returns zero, the least urgent, if there is
 // none. Even more urgent classes with less traffic are treated like it.
-func (a *Admission) mostUrgent() int {
+func (a *Controller) mostUrgent() int {
 	total := 0.0
 	for i := range a.classes {
 		total += a.classes[i].arrivals
@@ -278,7 +287,7 @@
 // allocateRefusals sets the refused share of each class. Of the new flows of the
 // classes below the most urgent one, refusedShare is refused in total, the least urgent
 // first. Without any such flows, refusedShare applies to the most urgent class.
-func (a *Admission) allocateRefusals() {
+func (a *Controller) allocateRefusals() {
 	if len(a.classes) == 0 {
 		return
 	}
@@ -306,7 +315,7 @@
 
 // Refuses reports whether a new flow of caller with requests of the given priority
 // is refused at now. It counts the flow as one of the new flows of its class.
-func (a *Admission) Refuses(caller carawaycart.FlowKey, priority int, now time.Time) bool {
+func (a *Controller) Refuses(caller carawaycart.FlowKey, priority int, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.closeWindows(now)
@@ -327,7 +336,7 @@
 	return float64(h>>11) / (1 << 53)
 }
 
-// Overload is the state of the Admission of a service.
+// Overload is the state of the Controller of a service.
 type Overload struct {
 	Service            carawaycart.ServiceID
 	SlowShare          float64 // share of the requests that are slow, smoothed
@@ -335,10 +344,10 @@
 	UrgentRefusedShare float64 // share of the new flows of the most urgent class that is refused
 }
 
-// report returns the state of a, without Service, and whether it is to be reported to
+// Report returns the state of a, without Service, and whether it is to be reported to
 // the observer at now: when refusals begin or end, and every overloadReportPeriod in
 // between. If it is not, the state is zero.
-func (a *Admission) report(now time.Time) (Overload, bool) {
+func (a *Controller) Report(now time.Time) (Overload, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	refusing := a.refusedShare > 0 || a.urgentRefusedShare > 0
--- a/core/steer/admission_test.go
+++ b/core/admission/controller_test.go
@@ -1,4 +1,4 @@
-package steer
+package admission
 
 import (
 	"container/heap"
@@ -23,8 +23,8 @@
 	return carawaycart.FlowKey{Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(n >> 8), byte(n)}), 1000)}
 }
 
-func TestAdmissionAdmitsAllWhileAnswersAreTimely(t *testing.T) {
-	a := &Admission{}
+func TestAdmitsAllWhileAnswersAreTimely(t *testing.T) {
+	a := &Controller{}
 	for n := range 1000 {
 		now := epoch.Add(time.Duration(n) * 5 * time.Millisecond)
 		a.RecordAnswer(feedPriority, 50*time.Millisecond, 100*time.Millisecond, false, now)
@@ -34,8 +34,8 @@
 	}
 }
 
-func TestAdmissionRefusesLeastUrgentFirst(t *testing.T) {
-	a := &Admission{}
+func TestRefusesLeastUrgentFirst(t *testing.T) {
+	a := &Controller{}
 	refused := make(map[int]int)
 	for n := range 60 { // 0.6 s of late answers to feeds
 		now := epoch.Add(time.Duration(n) * 10 * time.Millisecond)
@@ -51,8 +51,8 @@
 	}
 }
 
-func TestAdmissionRecoversAfterOverload(t *testing.T) {
-	a := &Admission{}
+func TestRecoversAfterOverload(t *testing.T) {
+	a := &Controller{}
 	now := epoch
 	for range 400 {
 		now = now.Add(10 * time.Millisecond)
@@ -73,7 +73,7 @@
 // Guards against lasting refusals after an instance starts while endpoints still
 // reject the load that built up while all instances were down. The quick rejections
 // are then the first answers in the baseline and make it too short.
-func TestAdmissionBaselineRecoversFromRejections(t *testing.T) {
+func TestBaselineRecoversFromRejections(t *testing.T) {
 	const (
 		period     = 40 * time.Millisecond // time between answers
 		rejections = 4                     // number of the first answers that are rejections
@@ -82,7 +82,7 @@
 	)
 	for _, rejected := range []time.Duration{3 * time.Millisecond, 8 * time.Millisecond, 48 * time.Millisecond} {
 		random := rand.New(rand.NewPCG(3, 3))
-		a := &Admission{}
+		a := &Controller{}
 		now := epoch
 		refused := 0
 		for n := range answers {
@@ -92,7 +92,9 @@
 				took = rejected
 			}
 			a.RecordAnswer(feedPriority, took, 100*time.Millisecond, false, now)
-			refused += boolToInt(a.Refuses(caller(n), feedPriority, now) && n > warmup)
+			if a.Refuses(caller(n), feedPriority, now) && n > warmup {
+				refused++
+			}
 		}
 		if refused > (answers-warmup)/100 {
 			t.Errorf("rejections after %v: got %d of %d refused, want about 1%% at most", rejected, refused, answers-warmup)
@@ -102,10 +104,10 @@
 
 // Guards against refusals without overload when the target of a route is shorter than
 // the baseline, which includes the time until callers acknowledge an answer.
-func TestAdmissionWithTargetsBelowBaseline(t *testing.T) {
+func TestWithTargetsBelowBaseline(t *testing.T) {
 	for _, target := range []time.Duration{30 * time.Millisecond, 50 * time.Millisecond, 60 * time.Millisecond, 70 * time.Millisecond} {
 		random := rand.New(rand.NewPCG(4, 4))
-		a := &Admission{}
+		a := &Controller{}
 		refused := 0
 		for n := range 2000 {
 			now := epoch.Add(time.Duration(n) * 10 * time.Millisecond)
@@ -115,7 +117,9 @@
 			}
 			took := 52*time.Millisecond + time.Duration(random.ExpFloat64()*float64(12*time.Millisecond))
 			a.RecordAnswer(priority, took, target, false, now)
-			refused += boolToInt(a.Refuses(caller(n), priority, now) && n > 100)
+			if a.Refuses(caller(n), priority, now) && n > 100 {
+				refused++
+			}
 		}
 		if refused > 20 { // 1%
 			t.Errorf("target of %v: got %d of 1900 refused, want about 1%% at most", target, refused)
@@ -125,8 +129,8 @@
 
 // Guards against refusals that never end because no answers arrive any more. The load
 // is then unknown.
-func TestAdmissionDecaysWithoutAnswers(t *testing.T) {
-	a := &Admission{}
+func TestDecaysWithoutAnswers(t *testing.T) {
+	a := &Controller{}
 	now := epoch
 	for range 100 {
 		now = now.Add(10 * time.Millisecond)
@@ -142,8 +146,8 @@
 }
 
 // Guards against a caller that gets in by retrying a refused flow from another port.
-func TestAdmissionDecidesRetriesConsistently(t *testing.T) {
-	a := &Admission{
+func TestDecidesRetriesConsistently(t *testing.T) {
+	a := &Controller{
 		classes: []class{{priority: feedPriority, refused: 0.5}},
 		slow:    answerWindow{start: epoch}, late: answerWindow{start: epoch},
 	}
@@ -151,7 +155,9 @@
 	for n := range 200 {
 		k := caller(n)
 		want := a.Refuses(k, feedPriority, epoch)
-		refused += boolToInt(want)
+		if want {
+			refused++
+		}
 		k.Caller = netip.AddrPortFrom(k.Caller.Addr(), 2000)
 		if got := a.Refuses(k, feedPriority, epoch.Add(40*time.Millisecond)); got != want {
 			t.Errorf("caller %d: got refused %t for its retry, want %t", n, got, want)
@@ -198,7 +204,7 @@
 
 // replayBurst sends requests to 28 request slots for 6 s: orders of value 2 and feeds of
 // value 1, each on a new flow. The load is a multiple of the capacity of the slots, and
-// control tells whether an Admission may refuse flows. It returns the share of the
+// control tells whether a Controller may refuse flows. It returns the share of the
 // value that is answered within its target.
 func replayBurst(load float64, control bool) float64 {
 	const (
@@ -216,7 +222,7 @@
 	perSecond := load * slots / ((1-orderShare)*feedWork.Seconds() + orderShare*orderWork.Seconds())
 	random := rand.New(rand.NewPCG(7, 7))
 	q := &queue{freeAt: make(finishTimes, slots), maxWait: queueLimit}
-	a := &Admission{}
+	a := &Controller{}
 	var underway []answer
 	offered, inTime := 0.0, 0.0
 	for at := time.Duration(0); at < span; at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
@@ -247,7 +253,7 @@
 
 // Guards against late answers to nearly all requests when a burst of new flows exceeds
 // the capacity of the endpoints. Without refusals, requests wait in full queues.
-func TestAdmissionUnderBursts(t *testing.T) {
+func TestUnderBursts(t *testing.T) {
 	for _, load := range []float64{0.6, 0.9, 1.2, 1.5, 2.5} {
 		got, without := replayBurst(load, true), replayBurst(load, false)
 		want := 0.95
@@ -267,7 +273,7 @@
 type longFlows struct {
 	random  *rand.Rand
 	queue   *queue
-	fleet   []*Admission
+	fleet   []*Controller
 	due     map[int][]func(now time.Time) // callbacks by the millisecond in which they are called
 	offered float64                       // value of the requests that were sent or refused
 	inTime  float64                       // value of the requests that were answered within their targets
@@ -276,7 +282,7 @@
 // send sends a request through a at the given millisecond and schedules the reports
 // of its answer to a. The instance observes the answer ackDelay later, when the caller
 // acknowledges it.
-func (l *longFlows) send(a *Admission, ms, priority int, value float64, work, target, ackDelay time.Duration) {
+func (l *longFlows) send(a *Controller, ms, priority int, value float64, work, target, ackDelay time.Duration) {
 	at := time.Duration(ms) * time.Millisecond
 	done, ok := l.queue.serve(at, time.Duration(l.random.ExpFloat64()*float64(work)))
 	if !ok {
@@ -321,11 +327,11 @@
 		random: rand.New(rand.NewPCG(5, 5)), queue: &queue{freeAt: make(finishTimes, slots), maxWait: queueLimit}, due: make(map[int][]func(time.Time)),
 	}
 	for range instances {
-		l.fleet = append(l.fleet, &Admission{})
+		l.fleet = append(l.fleet, &Controller{})
 	}
 	type feed struct {
 		phase     int // offset of its requests in milliseconds
-		admission *Admission
+		admission *Controller
 		open      bool
 	}
 	all := make([]feed, int(burst*feeds))
@@ -380,7 +386,7 @@
 
 // Guards against refusals that increase too slowly under a burst on flows that stay
 // open: flows admitted before the overload is detected cannot be refused later.
-func TestAdmissionUnderBurstsOnLongFlows(t *testing.T) {
+func TestUnderBurstsOnLongFlows(t *testing.T) {
 	for _, test := range []struct{ burst, want float64 }{{1.7, 0.97}, {2.6, 0.75}, {4, 0.45}} {
 		got, without := replayLongFlows(test.burst, true), replayLongFlows(test.burst, false)
 		if got < test.want {
@@ -389,23 +395,3 @@
 		t.Logf("burst of %v: got %.3f of the value in time (%.3f without refusals)", test.burst, got, without)
 	}
 }
-
-func TestTimeoutEstimator(t *testing.T) {
-	for _, test := range []struct {
-		name string
-		took []time.Duration
-		want time.Duration
-	}{
-		{"no answers", nil, initialFirstPacketTimeout},
-		{"quick answers", []time.Duration{8e6, 8e6, 8e6, 8e6, 8e6, 8e6, 8e6, 8e6, 8e6, 8e6, 8e6, 8e6}, minFirstPacketTimeout},
-		{"slow answers", []time.Duration{400e6, 400e6}, maxFirstPacketTimeout},
-	} {
-		var p timeoutEstimator
-		for _, d := range test.took {
-			p.observe(d)
-		}
-		if got := p.timeout(initialFirstPacketTimeout, minFirstPacketTimeout, maxFirstPacketTimeout); got != test.want {
-			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
-		}
-	}
-}
--- a/core/steer/candidate.go
+++ b/core/placement/candidate.go
@@ -1,4 +1,4 @@
-package steer
+package placement
 
 // Candidate is the state of an endpoint that decides whether it gets a new flow.
 type Candidate struct {
@@ -15,8 +15,6 @@
 	Lapsed      bool // whether its entry is absent from the store, which does not yet prove that it ended
 	Cold        bool // whether it is cold, or warming up after that
 	AtColdLimit bool // whether it is cold and has got its share of new flows from this instance
-
-	silenceOutdated bool // whether it was silent and has to be probed again
 }
 
 // Weights of the terms of a candidate's cost. The unit of cost is one outstanding
--- a/core/steer/cold.go
+++ b/core/placement/cold.go
@@ -1,4 +1,4 @@
-package steer
+package placement
 
 import (
 	"slices"
@@ -36,12 +36,12 @@
 	if members <= 0 || total <= 0 || rank < 0 {
 		return ColdShare{}
 	}
-	return ColdShare{FlowsPerSecond: memberShare(total, members, rank)}
+	return ColdShare{FlowsPerSecond: MemberShare(total, members, rank)}
 }
 
-// memberShare returns the part of total that belongs to the member with the given
+// MemberShare returns the part of total that belongs to the member with the given
 // rank. The parts of all members add up to total.
-func memberShare(total, members, rank int) int {
+func MemberShare(total, members, rank int) int {
 	share := total / members
 	if rank < total%members {
 		share++
--- a/core/steer/cold_test.go
+++ b/core/steer/cold_test.go
@@ -1,7 +1,6 @@
 package steer_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,29 +9,8 @@
 	"pgregory.net/rapid"
 
 	"carawaycart"
-	"carawaycart/core/steer"
 )
 
-// Guards against instances that together exceed half of the limit, or that never use
-// all of it because their shares are rounded down.
-func TestColdSharesAddUpToHalfTheLimit(t *testing.T) {
-	for _, test := range []struct {
-		limit   float64
-		members int
-		want    int // total over all members
-	}{
-		{11, 1, 5}, {11, 3, 5}, {11, 19, 5}, {5, 140, 2}, {1, 4, 0}, {0, 4, 0}, {200, 14, 100},
-	} {
-		sum := 0
-		for rank := range test.members {
-			sum += steer.NewColdShare(test.limit, test.members, rank).FlowsPerSecond
-		}
-		if sum != test.want {
-			t.Errorf("limit %v over %d members: got %d flows in total, want %d", test.limit, test.members, sum, test.want)
-		}
-	}
-}
-
 // Guards against more flows to a cold endpoint in any second than its limit, at any
 // load and also while each half of the instances does not know the other half.
 func TestColdEndpointStaysWithinLimit(t *testing.T) {
@@ -116,13 +94,3 @@
 		t.Errorf("got %d flows at the endpoint 4 s after its zone returned, want more than 5, as for a warm one", counts["i-01"])
 	}
 }
-
-func ExampleNewColdShare() {
-	for rank := range 3 {
-		fmt.Println(steer.NewColdShare(11, 3, rank).FlowsPerSecond)
-	}
-	// Output:
-	// 2
-	// 2
-	// 1
-}
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -6,6 +6,7 @@
 
 	"carawaycart"
 	"carawaycart/core/directory"
+	"carawaycart/core/placement"
 )
 
 // endpoint is one lifetime in a Table. It is immutable except for state, which all
@@ -14,8 +15,8 @@
 	lifetime  carawaycart.Lifetime
 	token     carawaycart.Token
 	presence  directory.Presence
-	coldUntil time.Time // end of the cold time; in the past if the endpoint is warm
-	coldShare ColdShare // zero if the endpoint was warm when the table was built
+	coldUntil time.Time           // end of the cold time; in the past if the endpoint is warm
+	coldShare placement.ColdShare // zero if the endpoint was warm when the table was built
 	// warmupUntil is the end of the warm-up after the cold time, during which other
 	// endpoints are preferred. It is zero without a profile.
 	warmupUntil         time.Time
@@ -48,27 +49,26 @@
 	return e
 }
 
-// candidate returns the state of e as a Candidate for a new flow at now through an
-// instance in zone. It leaves Tried unset.
-func (e *endpoint) candidate(zone carawaycart.ZoneID, now time.Time) Candidate {
+// candidate returns the state of e as a candidate for a new flow at now through an
+// instance in zone, and whether its silence is outdated. It leaves Tried unset.
+func (e *endpoint) candidate(zone carawaycart.ZoneID, now time.Time) (c placement.Candidate, outdated bool) {
 	s := e.state
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := Candidate{
+	c = placement.Candidate{
 		Outstanding: s.opening + s.waiting, Open: s.open, RequestSlots: e.lifetime.RequestSlots,
 		SameZone: e.lifetime.Zone == zone, Lapsed: e.presence == directory.Lapsed,
 		Avoided: s.timeouts > 0 && (now.Before(s.avoidUntil) || s.opening > 0),
 		Silent:  s.isSilentLocked(now), Failing: s.outcomeCounts.failing(now),
 	}
-	if s.silent && !c.Silent {
-		c.Avoided, c.silenceOutdated = true, true
-	}
+	outdated = s.silent && !c.Silent
+	c.Avoided = c.Avoided || outdated
 	c.Cold = now.Before(e.warmupUntil)
 	if now.Before(e.coldUntil) {
 		c.Cold = true
 		c.AtColdLimit = !e.coldShare.Allows(s.recentColdFlows, s.coldFlows, now)
 	}
-	return c
+	return c, outdated
 }
 
 // recordFlow records that the first packet of a flow is sent to e at now, and counts
--- a/core/steer/explain.go
+++ b/core/steer/explain.go
@@ -10,7 +10,7 @@
 )
 
 // EndpointView is the state of one lifetime as an instance sees it. The fields from
-// Cold on are as in Candidate.
+// Cold on are as in placement.Candidate.
 type EndpointView struct {
 	Lifetime    carawaycart.Lifetime
 	Token       carawaycart.Token
@@ -41,7 +41,7 @@
 }
 
 func (e *endpoint) view(zone carawaycart.ZoneID, now time.Time) EndpointView {
-	c := e.candidate(zone, now)
+	c, _ := e.candidate(zone, now)
 	return EndpointView{
 		Lifetime: e.lifetime, Token: e.token, Presence: e.presence, Cold: c.Cold, Avoided: c.Avoided,
 		Failing: c.Failing, Silent: c.Silent, Outstanding: c.Outstanding, Open: c.Open,
--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/admission"
 	"carawaycart/core/directory"
+	"carawaycart/core/placement"
 	"carawaycart/core/steer"
 )
 
@@ -27,14 +29,14 @@
 	silentEndpoints map[carawaycart.EndpointID]bool
 	failing         []steer.Outcomes
 
-	overloads []steer.Overload
+	overloads []admission.Overload
 }
 
 func newEvents() *events {
 	return &events{refused: make(map[carawaycart.Cause]int), silentEndpoints: make(map[carawaycart.EndpointID]bool)}
 }
 
-func (e *events) Placed(_ *carawaycart.FlowKey, _ carawaycart.EndpointID, _ *steer.Candidate, p steer.Placement) {
+func (e *events) Placed(_ *carawaycart.FlowKey, _ carawaycart.EndpointID, _ *placement.Candidate, p steer.Placement) {
 	if p.EndpointsTried > 0 {
 		e.hedged++
 	}
@@ -54,7 +56,7 @@
 
 func (e *events) RequestsFailed(o []steer.Outcomes) { e.failing = append(e.failing, o...) }
 
-func (e *events) Overloaded(o steer.Overload)      { e.overloads = append(e.overloads, o) }
+func (e *events) Overloaded(o admission.Overload)  { e.overloads = append(e.overloads, o) }
 func (e *events) Recovered(carawaycart.EndpointID) {}
 
 // fleet is a set of routers with the contents of the store that their tables are built
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -29,14 +29,6 @@
 	abandonTimeout = 3 * time.Second
 )
 
-// Limits of the timeout for answers to requests, and its value before the first answer.
-// Requests take longer than first packets, and their processing times vary widely.
-const (
-	minAnswerTimeout     = 150 * time.Millisecond
-	maxAnswerTimeout     = time.Second
-	initialAnswerTimeout = 500 * time.Millisecond
-)
-
 // outcomeCounts counts the outcomes of an endpoint's requests. The counts decay with
 // outcomeHalfLife.
 type outcomeCounts struct {
@@ -89,7 +81,7 @@
 		return
 	}
 	a := f.objective.admission
-	slow, deadline := now.Add(a.SlowThreshold(f.objective.priority, f.objective.answerTarget)), now.Add(a.answerTimeout())
+	slow, deadline := now.Add(a.SlowThreshold(f.objective.priority, f.objective.answerTarget)), now.Add(a.AnswerTimeout())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.pending) < maxPendingRequests {
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -7,7 +7,10 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/admission"
 	"carawaycart/core/directory"
+	"carawaycart/core/placement"
+	"carawaycart/core/timeout"
 )
 
 const (
@@ -19,6 +22,10 @@
 	// maxFirstPacketEndpoints limits the endpoints that a first packet is sent to
 	// before the caller resends it.
 	maxFirstPacketEndpoints = 3
+
+	minFirstPacketTimeout     = 20 * time.Millisecond  // answers to first packets normally take 8 ms
+	maxFirstPacketTimeout     = 150 * time.Millisecond // callers resend a first packet after 200 ms
+	initialFirstPacketTimeout = 40 * time.Millisecond  // timeout before any first packet was answered
 )
 
 // Observer is notified of the decisions of a Router and of state changes of endpoints.
@@ -27,7 +34,7 @@
 type Observer interface {
 	// Placed is called when an endpoint with state c is chosen for the first packet of
 	// a flow, also if the packet was sent to other endpoints before.
-	Placed(key *carawaycart.FlowKey, e carawaycart.EndpointID, c *Candidate, p Placement)
+	Placed(key *carawaycart.FlowKey, e carawaycart.EndpointID, c *placement.Candidate, p Placement)
 	// Refused is called when a packet is not forwarded because of c. The flow is reset
 	// if reset is true. The revision is that of the table, zero if it has no
 	// routing configuration.
@@ -46,7 +53,7 @@
 	RequestsFailed(outcomes []Outcomes)
 	// Overloaded is called when refusals of new flows of a service begin or end, and
 	// periodically in between.
-	Overloaded(o Overload)
+	Overloaded(o admission.Overload)
 	// Recovered is called when an endpoint answers a packet after a timeout.
 	Recovered(e carawaycart.EndpointID)
 }
@@ -64,8 +71,8 @@
 
 	mu               sync.Mutex // guards the fields below
 	random           *rand.Rand
-	candidates       []Candidate                              // buffer that is reused between placements
-	timeoutEstimator map[carawaycart.ZoneID]*timeoutEstimator // for first packets, by zone of the endpoint
+	candidates       []placement.Candidate                     // buffer that is reused between placements
+	timeoutEstimator map[carawaycart.ZoneID]*timeout.Estimator // for first packets, by zone of the endpoint
 	// slow and pending hold the tracked requests, nearly ordered by the time when they
 	// become slow and when they fail. The queue abandoned holds the failed requests,
 	// ordered by the time when they are abandoned.
@@ -81,7 +88,7 @@
 func NewRouter(zone carawaycart.ZoneID, source rand.Source, o Observer) *Router {
 	return &Router{
 		zone: zone, flows: newFlowTable(), observer: o, random: rand.New(source), configured: make(chan struct{}),
-		timeoutEstimator: make(map[carawaycart.ZoneID]*timeoutEstimator), unreported: make(map[carawaycart.Token]*state),
+		timeoutEstimator: make(map[carawaycart.ZoneID]*timeout.Estimator), unreported: make(map[carawaycart.Token]*state),
 	}
 }
 
@@ -192,7 +199,7 @@
 		return r.refuse(p, carawaycart.CauseNoEndpoint, true, t.Revision)
 	}
 	refused := to.objective.admission.Refuses(p.Key, to.objective.priority, now)
-	if o, changed := to.objective.admission.report(now); changed {
+	if o, changed := to.objective.admission.Report(now); changed {
 		o.Service = to.service
 		r.observer.Overloaded(o)
 	}
@@ -219,15 +226,15 @@
 func (r *Router) FirstPacketTimeout(zone carawaycart.ZoneID) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.estimatorFor(zone).timeout(initialFirstPacketTimeout, minFirstPacketTimeout, maxFirstPacketTimeout)
+	return r.estimatorFor(zone).Timeout(initialFirstPacketTimeout, minFirstPacketTimeout, maxFirstPacketTimeout)
 }
 
 // estimatorFor returns the estimator for zone and adds it if there is none. r.mu must
 // be held.
-func (r *Router) estimatorFor(zone carawaycart.ZoneID) *timeoutEstimator {
+func (r *Router) estimatorFor(zone carawaycart.ZoneID) *timeout.Estimator {
 	e := r.timeoutEstimator[zone]
 	if e == nil {
-		e = &timeoutEstimator{}
+		e = &timeout.Estimator{}
 		r.timeoutEstimator[zone] = e
 	}
 	return e
@@ -286,15 +293,15 @@
 	r.candidates = r.candidates[:0]
 	full, silent := false, false
 	for _, e := range endpoints {
-		c := e.candidate(r.zone, now)
+		c, outdated := e.candidate(r.zone, now)
 		c.Tried = isTried(tried, e)
 		full, silent = full || c.AtColdLimit, silent || c.Silent
-		if c.silenceOutdated {
+		if outdated {
 			r.observer.ProbeRequested(&e.lifetime)
 		}
 		r.candidates = append(r.candidates, c)
 	}
-	i := Choose(r.candidates, r.random.IntN)
+	i := placement.Choose(r.candidates, r.random.IntN)
 	if i < 0 {
 		switch {
 		case full:
@@ -503,7 +510,7 @@
 		f.phase = phaseOpen
 		f.acknowledged = p.Acknowledged
 		r.mu.Lock()
-		r.estimatorFor(e.lifetime.Zone).observe(now.Sub(f.sentAt))
+		r.estimatorFor(e.lifetime.Zone).Observe(now.Sub(f.sentAt))
 		r.mu.Unlock()
 		r.handleAnswer(e, now)
 	}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/admission"
 	"carawaycart/core/directory"
+	"carawaycart/core/placement"
 	"carawaycart/internal/rendezvous"
 )
 
 // Table is a view of the store on which decisions are based. It is immutable, except
-// that it shares the state of endpoints and the Admissions with the tables before and
+// that it shares the state of endpoints and the admission controllers with the tables before and
 // after it.
 type Table struct {
 	ConfigVersion uint64                    // version of the routing configuration; zero without one
@@ -21,7 +23,7 @@
 	zonesOut map[carawaycart.ZoneID]bool // zones whose endpoints take no new flows
 
 	policies   map[carawaycart.ServiceID]carawaycart.ServicePolicy
-	admissions map[carawaycart.ServiceID]*Admission // shared by all tables of a router
+	admissions map[carawaycart.ServiceID]*admission.Controller // shared by all tables of a router
 }
 
 // route determines where the new flows to one service address go.
@@ -41,10 +43,10 @@
 // objective is the priority and target answer time of requests, and the admission
 // control that refuses flows while it is missed.
 type objective struct {
-	admission    *Admission    // shared by all routes to the service
-	priority     int           // zero is the most urgent
-	answerTarget time.Duration // time within which a request should be answered
-	repeatable   bool          // whether requests may run more than once
+	admission    *admission.Controller // shared by all routes to the service
+	priority     int                   // zero is the most urgent
+	answerTarget time.Duration         // time within which a request should be answered
+	repeatable   bool                  // whether requests may run more than once
 }
 
 // ColdLimits limits the new flows per second that a cold endpoint gets from all
@@ -80,7 +82,7 @@
 	if previous != nil {
 		t.admissions = previous.admissions
 	} else {
-		t.admissions = make(map[carawaycart.ServiceID]*Admission)
+		t.admissions = make(map[carawaycart.ServiceID]*admission.Controller)
 	}
 	for _, z := range in.Contents.ZonesOut {
 		t.zonesOut[z] = true
@@ -139,7 +141,7 @@
 // with the given key. Members are ranked by rendezvous hashing, so that they agree on
 // their ranks and the rank of each varies with the endpoint. A profile without a name
 // does not limit the total number of flows.
-func coldShare(in *Input, policy carawaycart.ServicePolicy, profile carawaycart.Profile, key carawaycart.LifetimeKey) ColdShare {
+func coldShare(in *Input, policy carawaycart.ServicePolicy, profile carawaycart.Profile, key carawaycart.LifetimeKey) placement.ColdShare {
 	limit := policy.ColdRequestRate*in.Limits.ColdOverrun + in.Limits.ColdSlack
 	endpointKey := rendezvous.NewKey(string(key.ID))
 	ownScore := rendezvous.Score(rendezvous.NewName(string(in.Self)), endpointKey)
@@ -153,15 +155,15 @@
 			rank++
 		}
 	}
-	share := NewColdShare(limit, members, rank)
+	share := placement.NewColdShare(limit, members, rank)
 	if profile.Name != "" {
 		share.HasMaxFlows = true
-		share.MaxFlows = memberShare(profile.ColdFlows, members, rank)
+		share.MaxFlows = placement.MemberShare(profile.ColdFlows, members, rank)
 	}
 	return share
 }
 
-// addRoutes adds the routes of c, with an Admission for each service that has none.
+// addRoutes adds the routes of c, with an admission controller for each service that has none.
 func (t *Table) addRoutes(c *carawaycart.RouteConfig) {
 	services := make(map[carawaycart.ServiceID][]*endpoint)
 	for _, e := range t.byKey {
@@ -174,7 +176,7 @@
 		r := &route{repeatable: from.Kind.Idempotent()}
 		for _, to := range from.Targets {
 			if t.admissions[to.Service] == nil {
-				t.admissions[to.Service] = &Admission{}
+				t.admissions[to.Service] = &admission.Controller{}
 			}
 			r.targets = append(r.targets, routeTarget{
 				service: to.Service, endpoints: services[to.Service], weight: to.Weight,
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/admission"
+	"carawaycart/core/placement"
 	"carawaycart/core/steer"
 	"carawaycart/internal/eventlog"
 )
@@ -18,7 +20,7 @@
 }
 
 // Placed logs the endpoint that a first packet is sent to.
-func (o *observer) Placed(key *carawaycart.FlowKey, e carawaycart.EndpointID, c *steer.Candidate, p steer.Placement) {
+func (o *observer) Placed(key *carawaycart.FlowKey, e carawaycart.EndpointID, c *placement.Candidate, p steer.Placement) {
 	o.counters.Placed.Inc(1)
 	if p.EndpointsTried > 0 {
 		o.counters.Hedged.Inc(1)
@@ -60,7 +62,7 @@
 }
 
 // Overloaded logs the share of new flows of a service that are refused.
-func (o *observer) Overloaded(v steer.Overload) {
+func (o *observer) Overloaded(v admission.Overload) {
 	o.log.Event("overload").Text("service", string(v.Service)).Int("slowPercent", percent(v.SlowShare)).
 		Int("refusedPercent", percent(v.RefusedShare)).Int("urgentPercent", percent(v.UrgentRefusedShare)).End()
 }
