--- a/internal/edge/counters.go
+++ b/internal/edge/counters.go
@@ -81,9 +81,11 @@
 // CountReset counts a flow that was reset because of c without a packet of its caller.
 func (c *Counters) CountReset(cause carawaycart.Cause) { c.reset[cause].Inc(1) }
 
-// RegisterViewGauges registers gauges for the revision and the age of the view.
-// The functions return them when the metrics are read, the age in milliseconds.
-func (c *Counters) RegisterViewGauges(revision, ageMillis func() int64) {
+// RegisterViewGauges registers gauges for the revision and the age of the view, and for
+// the items that could not be decoded. The functions return them when the metrics are
+// read, the age in milliseconds.
+func (c *Counters) RegisterViewGauges(revision, ageMillis, itemsRefused func() int64) {
+	metrics.NewRegisteredFunctionalGauge("itemsRefused", c.Registry, itemsRefused)
 	metrics.NewRegisteredFunctionalGauge("storeRevision", c.Registry, revision)
 	metrics.NewRegisteredFunctionalGauge("viewAgeMillis", c.Registry, ageMillis)
 }
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -99,6 +99,7 @@
 	e.counters.RegisterViewGauges(
 		func() int64 { return int64(e.view.State().Revision) },
 		func() int64 { return clock.Now().Sub(e.view.State().LastReadAt).Milliseconds() },
+		func() int64 { return int64(e.view.State().ItemsRefused) },
 	)
 	e.readyServer = newReadyServer(sockets.Ready, platform.ReadyPath, e.Ready)
 	e.operatorServer = operator.NewServer(sockets.Operator, e, e.counters.Registry)
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -73,6 +73,7 @@
 	LastReadAt   time.Time                  // start of the last known read of the store; zero if none
 	StoreFailure time.Time                  // last known store failure; zero if none
 	FailedReads  directory.FailedReads      // failed reads by this instance and its peers
+	ItemsRefused int                        // items received so far that could not be decoded
 	Instances    []carawaycart.Registration // instances listed in the store
 	Renewed      <-chan struct{}            // closed when LastReadAt advances
 }
@@ -83,7 +84,7 @@
 	defer v.mu.Unlock()
 	return State{
 		Revision: v.directory.Revision(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure,
-		FailedReads: v.failedReads.Clone(), Instances: v.contents.Instances, Renewed: v.renewed,
+		FailedReads: v.failedReads.Clone(), ItemsRefused: v.directory.DecodeFailures(), Instances: v.contents.Instances, Renewed: v.renewed,
 	}
 }
 
@@ -174,9 +175,12 @@
 	for _, r := range v.directory.TakeRefusals() {
 		v.log.Event("itemRefused").Text("key", r.Key).Int("revision", int64(r.Revision)).Err(r.Err).End()
 	}
-	invalidRoutes := 0
+	invalidRoutes, unknownKinds := 0, 0
 	if c := v.contents.Config; c != nil {
 		invalidRoutes = c.InvalidRoutes
+		for i := range c.Routes {
+			unknownKinds += int(boolToInt(c.Routes[i].Kind == carawaycart.RequestUnknown))
+		}
 	}
 	operatorConfig, err := loadOperatorConfig(v.directory, v.clock)
 	if err != nil {
@@ -193,7 +197,7 @@
 	v.router.SetTable(table)
 	v.log.Event("view").Int("revision", int64(v.directory.Revision())).Int("config", int64(table.ConfigVersion)).
 		Int("lifetimes", int64(len(v.contents.Lifetimes))).Int("instances", int64(len(v.contents.Instances))).
-		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("invalidRoutes", int64(invalidRoutes)).
+		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("invalidRoutes", int64(invalidRoutes)).Int("unknownKinds", int64(unknownKinds)).
 		Int("profiles", int64(v.operatorConfig.Revision)).
 		Text("source", source).Millis("ageMs", now.Sub(v.lastReadAt)).End()
 }
