Tell operators the evidence behind an endpoint's state

Change: status and explain flow say how many packets and probes went unanswered, how old the last probe, a peer's report and the last answer are, and the share of late requests. Measured by test (TestEvidenceOfSilence).

--- a/cmd/carawaycart/inspect.go
+++ b/cmd/carawaycart/inspect.go
@@ -118,9 +118,9 @@
 	for _, v := range s.Services {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\n", v.ID, v.Profile, v.Slots, v.DirtySlots)
 	}
-	_, _ = fmt.Fprintln(t, "\nENDPOINT\tSERVICE\tZONE\tSTATE\tMARK\tGUARDED\tKEEPER")
+	_, _ = fmt.Fprintln(t, "\nENDPOINT\tSERVICE\tZONE\tSTATE\tMARK\tGUARDED\tKEEPER\tEVIDENCE")
 	for _, e := range s.Endpoints {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%t\t%s\n", e.ID, e.Service, e.Zone, e.State, e.Mark, e.Guarded, e.Keeper)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%t\t%s\t%s\n", e.ID, e.Service, e.Zone, e.State, e.Mark, e.Guarded, e.Keeper, e.Evidence)
 	}
 	_, _ = fmt.Fprintf(t, "\n%d alarms\n", len(s.Alarms))
 	for _, a := range s.Alarms {
--- a/core/steer/explain.go
+++ b/core/steer/explain.go
@@ -21,6 +21,28 @@
 	Silent      bool
 	Outstanding int
 	Open        int
+	Evidence    Evidence
+}
+
+// Evidence is what an instance has observed of the answers of a lifetime. The times are
+// zero if there was no such event.
+type Evidence struct {
+	AnsweredAt   time.Time // last answer to a packet or probe
+	Timeouts     int       // unanswered packets since then
+	FailedProbes int       // unanswered probes since then
+	ProbeFailed  time.Time // last unanswered probe
+	PeerReported time.Time // last report of a peer that the endpoint is silent
+	FailedShare  float64   // recent share of requests without an answer in time, here and at peers
+}
+
+// evidence returns what s holds at now.
+func (s *state) evidence(now time.Time) Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Evidence{
+		AnsweredAt: s.answeredAt, Timeouts: s.timeouts, FailedProbes: s.failedProbes, ProbeFailed: s.probeFailedAt,
+		PeerReported: s.silenceReportedAt, FailedShare: s.outcomeCounts.failedShare(now),
+	}
 }
 
 // Endpoints returns the state of all lifetimes at now, ordered by ID and StartedAt. It
@@ -45,6 +67,7 @@
 	return EndpointView{
 		Lifetime: e.lifetime, Token: e.token, Presence: e.presence, Cold: c.Cold, Avoided: c.Avoided,
 		Failing: c.Failing, Silent: c.Silent, Outstanding: c.Outstanding, Open: c.Open,
+		Evidence: e.state.evidence(now),
 	}
 }
 
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -57,6 +57,15 @@
 	return c.failed >= minFailures && c.failed > maxFailureShare*(c.failed+c.answered)
 }
 
+// failedShare returns the share of failed requests at now.
+func (c *outcomeCounts) failedShare(now time.Time) float64 {
+	if c.failed == 0 {
+		return 0
+	}
+	c.add(0, 0, now)
+	return c.failed / (c.failed + c.answered)
+}
+
 // Outcomes counts the failed and the answered requests of the endpoint with Token since
 // its outcomes were last reported.
 type Outcomes struct {
--- a/core/steer/silence_test.go
+++ b/core/steer/silence_test.go
@@ -229,3 +229,21 @@
 		t.Errorf("got %+v, want an endpoint that answers not silent", got)
 	}
 }
+
+// Guards against a state that operators cannot trace to its evidence.
+func TestEvidenceOfSilence(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	makeSilent(t, f, 0, "i-01", start)
+	r.RequestProbe(r.Endpoints(start)[0].Token, start.Add(3*time.Second)) // the silence is outdated by then
+	now := start.Add(4 * time.Second)
+	got := r.Endpoints(now)[0].Evidence
+	want := steer.Evidence{Timeouts: 2, FailedProbes: 2, ProbeFailed: start.Add(440 * time.Millisecond), PeerReported: start.Add(3 * time.Second)}
+	if got != want {
+		t.Errorf("got evidence %+v, want %+v", got, want)
+	}
+	r.RecordProbe(f.endpoint("i-01").Key(), true, now, now)
+	if got := r.Endpoints(now)[0].Evidence; got.FailedProbes != 0 || got.Timeouts != 0 || got.AnsweredAt != now {
+		t.Errorf("got evidence %+v after an answer, want none against the endpoint", got)
+	}
+}
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,7 +30,7 @@
 		status.Members = append(status.Members, operator.MemberStatus{ID: i.ID, Zone: i.Zone, State: "registered"})
 	}
 	for _, v := range e.router.Endpoints(now) {
-		status.Endpoints = append(status.Endpoints, endpointStatus(&v))
+		status.Endpoints = append(status.Endpoints, endpointStatus(&v, now))
 	}
 	return status
 }
@@ -65,8 +66,9 @@
 	return alarms
 }
 
-func endpointStatus(v *steer.EndpointView) operator.EndpointStatus {
-	status := operator.EndpointStatus{ID: v.Lifetime.ID, Service: v.Lifetime.Service, Zone: v.Lifetime.Zone, State: endpointState(v)}
+// endpointStatus returns the status of the endpoint with view v at now.
+func endpointStatus(v *steer.EndpointView, now time.Time) operator.EndpointStatus {
+	status := operator.EndpointStatus{ID: v.Lifetime.ID, Service: v.Lifetime.Service, Zone: v.Lifetime.Zone, State: endpointState(v), Evidence: evidenceText(&v.Evidence, now)}
 	switch {
 	case v.Presence == directory.Ended:
 		status.Mark = carawaycart.MarkEnded
@@ -76,6 +78,33 @@
 	return status
 }
 
+// evidenceText returns what speaks against an endpoint at now, or the empty string if
+// nothing does.
+func evidenceText(e *steer.Evidence, now time.Time) string {
+	var parts []string
+	add := func(format string, args ...any) { parts = append(parts, fmt.Sprintf(format, args...)) }
+	age := func(t time.Time) time.Duration { return now.Sub(t).Round(time.Millisecond) }
+	if e.Timeouts > 0 {
+		add("%d packets unanswered", e.Timeouts)
+	}
+	if e.FailedProbes > 0 {
+		add("%d probes unanswered", e.FailedProbes)
+		if !e.ProbeFailed.IsZero() {
+			add("the last %v ago", age(e.ProbeFailed))
+		}
+	}
+	if e.FailedProbes > 0 && !e.PeerReported.IsZero() {
+		add("reported silent by a peer %v ago", age(e.PeerReported))
+	}
+	if e.FailedShare > 0 {
+		add("%.0f%% of its requests late or lost, here and at peers", 100*e.FailedShare)
+	}
+	if len(parts) > 0 && !e.AnsweredAt.IsZero() {
+		add("last answer %v ago", age(e.AnsweredAt))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func endpointState(v *steer.EndpointView) string {
 	switch {
 	case v.Presence == directory.Lapsed:
@@ -111,6 +140,9 @@
 	explanation.OpenedAt = time.Now().Add(flow.Opened.Sub(now))
 	explanation.Rule = fmt.Sprintf("by token %d; endpoint %s, first packet sent to %d endpoints, waiting for an answer: %t",
 		flow.Endpoint.Token, endpointState(&flow.Endpoint), flow.Tried, flow.Waiting)
+	if evidence := evidenceText(&flow.Endpoint.Evidence, now); evidence != "" {
+		explanation.Rule += "; " + evidence
+	}
 	return explanation, nil
 }
 
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -45,6 +45,9 @@
 	Mark    carawaycart.EndpointMark `json:"mark,omitempty"` // empty if there is none
 	// State is the name of the state in which the instance queried sees the endpoint.
 	State string `json:"state"`
+	// Evidence says what the state is based on, with ages; empty if nothing speaks
+	// against the endpoint.
+	Evidence string `json:"evidence,omitempty"`
 	// Guarded is whether packets of the endpoint's slots must pass through the keeper.
 	Guarded bool `json:"guarded"`
 	// Keeper is the instance that published the status, empty if there is none.
