Keep keys uncertain for as long as a lost claim may live; release sockets on failure

Cause: after several instances were lost, their keys counted as uncertain for an hour. OpenSockets left sockets open when a later one failed, and New its goroutines. Change: the longest claim of any profile seen so far decides; the sockets are closed.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -85,6 +86,16 @@
 	return data, errors.Annotate(err, "encode snapshot")
 }
 
+// LongestClaim returns the longest time for which a keyed request may be under way and its
+// answer retained after that, under any profile.
+func (c *Configuration) LongestClaim() time.Duration {
+	var longest time.Duration
+	for _, p := range c.Profiles {
+		longest = max(longest, (p.RequestSeconds + p.AnswerSeconds).Duration())
+	}
+	return longest
+}
+
 // ServiceEndpoints returns the sorted IDs of the endpoints of service id. The slice
 // is empty if there are none, and must not be modified.
 func (c *Configuration) ServiceEndpoints(id carawaycart.ServiceID) []carawaycart.EndpointID {
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -283,3 +284,16 @@
 		t.Errorf("got %d, %t, want 11: applied changes must not take up room", next.Revision, ok)
 	}
 }
+
+// Guards against keys that count as free while a claim that was lost could still be alive:
+// a retry would run the order again.
+func TestLongestClaimCoversAllProfiles(t *testing.T) {
+	c := config.New()
+	if got, want := c.LongestClaim(), 3630*time.Second; got != want {
+		t.Errorf("got %v for the built-in profiles, want %v", got, want)
+	}
+	c.Profiles["patient"] = carawaycart.Profile{Name: "patient", RequestSeconds: 60, AnswerSeconds: 24 * 3600}
+	if got, want := c.LongestClaim(), 24*time.Hour+time.Minute; got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/control/replicator.go
+++ b/internal/control/replicator.go
@@ -28,10 +28,6 @@
 	// lossWindow is the time in which claims of a lost holder are copied to new
 	// holders.
 	lossWindow = 5 * time.Second
-	// uncertaintyPeriod is the time for which the claims of lost instances are
-	// uncertain. It is the longest answerSeconds of the built-in profiles, for which
-	// a claim is retained after the deadline of its request.
-	uncertaintyPeriod = time.Hour
 	// recordsPerCall is the maximum number of records in one Records call.
 	recordsPerCall = 4096
 )
@@ -55,6 +51,7 @@
 	members  *member.View  // as of the last repair
 	view     *board.View   // as of the last repair
 	retired  []retiredView // replaced within lossWindow, oldest first
+	longest  time.Duration // largest value of longestClaim so far
 
 	tasks *tasks
 }
@@ -254,6 +251,7 @@
 // within lossWindow of each other, because these may have held the only copies.
 func (re *Replicator) markUncertainClaims() {
 	now := re.clock.Now()
+	re.longestClaim()
 	re.retired = append(re.retired, retiredView{members: re.members, end: now})
 	for len(re.retired) > 1 && now.Sub(re.retired[0].end) > lossWindow {
 		re.retired = re.retired[1:]
@@ -270,7 +268,16 @@
 		return
 	}
 	klog.InfoS("several instances failed within the loss window; their claims are uncertain", "instance", re.board.Self, "lost", lost)
-	re.claims.RecordLoss(before, lost, now.Add(uncertaintyPeriod))
+	re.claims.RecordLoss(before, lost, now.Add(re.longestClaim()))
+}
+
+// longestClaim returns the longest time for which a claim may live under any profile of
+// the configurations that were in force when it was called, including now.
+func (re *Replicator) longestClaim() time.Duration {
+	if view := re.board.View(); view != nil {
+		re.longest = max(re.longest, view.Config.LongestClaim())
+	}
+	return re.longest
 }
 
 // failed returns the instances that are suspect or dead and thus did not copy
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -86,6 +86,10 @@
 	e.prober.reset = (&resetter{conn: sockets.Fabric, port: s.FabricAddress.Port(), counters: e.counters, log: log}).reset
 	var err error
 	if e.peerServer, err = peer.NewDirectoryServer(sockets.Peer, e.disseminator, e.counters); err != nil {
+		e.disseminator.Close()
+		e.hedger.Close()
+		e.prober.Close()
+		sockets.close()
 		return nil, err
 	}
 	backlog := &steer.Backlog{}
@@ -257,23 +261,43 @@
 	Operator net.Listener // status, explanations and metrics
 }
 
-// OpenSockets opens the sockets at the addresses in s. If one cannot be opened, it
-// returns the error and leaves the others open.
+// OpenSockets opens the sockets at the addresses in s. If one cannot be opened, it closes
+// the others and returns the error.
 func OpenSockets(s settings.Settings) (*Sockets, error) {
 	sockets := &Sockets{}
-	var err error
-	if sockets.Fabric, err = socket.ListenUDP(s.FabricAddress, "fabric", 0); err != nil {
-		return nil, err
+	open := func() (err error) {
+		if sockets.Fabric, err = socket.ListenUDP(s.FabricAddress, "fabric", 0); err != nil {
+			return err
+		}
+		if sockets.Updates, err = socket.ListenUDP(s.PeerAddress, "peer", 0); err != nil {
+			return err
+		}
+		if sockets.Peer, err = socket.Listen(s.PeerAddress, "peer"); err != nil {
+			return err
+		}
+		if sockets.Ready, err = socket.Listen(s.ReadyAddress, "ready"); err != nil {
+			return err
+		}
+		sockets.Operator, err = socket.Listen(s.OperatorAddress, "operator")
+		return err
 	}
-	if sockets.Updates, err = socket.ListenUDP(s.PeerAddress, "peer", 0); err != nil {
+	if err := open(); err != nil {
+		sockets.close()
 		return nil, err
 	}
-	if sockets.Peer, err = socket.Listen(s.PeerAddress, "peer"); err != nil {
-		return nil, err
+	return sockets, nil
+}
+
+// close closes the sockets that are open.
+func (s *Sockets) close() {
+	for _, conn := range []*net.UDPConn{s.Fabric, s.Updates} {
+		if conn != nil {
+			_ = conn.Close()
+		}
 	}
-	if sockets.Ready, err = socket.Listen(s.ReadyAddress, "ready"); err != nil {
-		return nil, err
+	for _, listener := range []net.Listener{s.Peer, s.Ready, s.Operator} {
+		if listener != nil {
+			_ = listener.Close()
+		}
 	}
-	sockets.Operator, err = socket.Listen(s.OperatorAddress, "operator")
-	return sockets, err
 }
