Count a peer's report of silence only if nothing was answered here

Cause: a peer's report counted as one failed probe, so that one lost probe made an endpoint silent that answered here. A peer that is cut off from the endpoints alone reports all of them. Packets that a full backlog discarded were not counted. Change: the report counts if the endpoint has answered nothing here for the 400 ms that the peer's probes take; the backlog line tells the discarded packets.

--- a/core/steer/backlog.go
+++ b/core/steer/backlog.go
@@ -19,9 +19,10 @@
 // its next copy only after 200, 400 or 800 ms, which may be too late. A Backlog is safe
 // for concurrent use.
 type Backlog struct {
-	mu      sync.Mutex
-	packets []backlogPacket // ordered by receivedAt
-	taken   bool            // whether Take was called
+	mu        sync.Mutex
+	packets   []backlogPacket // ordered by receivedAt
+	discarded int             // packets that were discarded because the backlog was full
+	taken     bool            // whether Take was called
 }
 
 // backlogPacket is a packet that was received at receivedAt.
@@ -41,22 +42,24 @@
 	}
 	if len(b.packets) >= maxBacklogPackets {
 		b.packets = b.packets[1:]
+		b.discarded++
 	}
 	b.packets = append(b.packets, backlogPacket{data: append([]byte(nil), data...), receivedAt: now})
 	return true
 }
 
 // Take ends the backlog and returns its packets in the order of their arrival, except
-// those that are older than maxBacklogAge at now.
-func (b *Backlog) Take(now time.Time) [][]byte {
+// those that are older than maxBacklogAge at now. It also returns the number of packets
+// that were discarded for their age or because the backlog was full.
+func (b *Backlog) Take(now time.Time) (packets [][]byte, discarded int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var packets [][]byte
 	for _, p := range b.packets {
 		if now.Sub(p.receivedAt) <= maxBacklogAge {
 			packets = append(packets, p.data)
 		}
 	}
-	b.packets, b.taken = nil, true
-	return packets
+	discarded = b.discarded + len(b.packets) - len(packets)
+	b.packets, b.discarded, b.taken = nil, 0, true
+	return packets, discarded
 }
--- a/core/steer/backlog_test.go
+++ b/core/steer/backlog_test.go
@@ -32,16 +32,20 @@
 				t.Fatalf("%s: packet %d was not held", test.name, n)
 			}
 		}
-		got := b.Take(start.Add(test.start))
+		got, discarded := b.Take(start.Add(test.start))
 		if len(got) != test.wantLen {
 			t.Errorf("%s: got %d packets, want %d", test.name, len(got), test.wantLen)
 		}
+		if want := test.packets - test.wantLen; discarded != want {
+			t.Errorf("%s: got %d packets discarded, want %d", test.name, discarded, want)
+		}
 		for i, p := range got {
 			if n := binary.BigEndian.Uint32(p); n != uint32(test.wantFirst+i) {
 				t.Fatalf("%s: got packet %d at %d, want %d", test.name, n, i, test.wantFirst+i)
 			}
 		}
-		if b.Add(data, start.Add(test.start)) || len(b.Take(start.Add(test.start))) != 0 {
+		got, discarded = b.Take(start.Add(test.start))
+		if b.Add(data, start.Add(test.start)) || len(got) != 0 || discarded != 0 {
 			t.Errorf("%s: a packet was held after the table was there", test.name)
 		}
 	}
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -100,6 +100,10 @@
 	// SilenceSlack covers the time that a probe takes, with delays of its sender.
 	SilenceSlack = 400 * time.Millisecond
 
+	// peerProbeSpan is the time that a peer needs to find an endpoint silent, with two
+	// probes, and to report it.
+	peerProbeSpan = 400 * time.Millisecond
+
 	// silenceReportPeriod is the time after the report of a peer during which the
 	// peers of the zone need no other report of the same endpoint.
 	silenceReportPeriod = 2 * time.Second
@@ -208,7 +212,9 @@
 }
 
 // recordPeerSilence records at now that a peer has found the endpoint silent, and reports
-// whether it is to be probed, which it is unless it is silent already.
+// whether it is to be probed, which it is unless it is silent already. The report counts
+// as a failed probe only if the endpoint has answered nothing here while the peer probed
+// it: otherwise the path of the peer is at fault.
 func (s *state) recordPeerSilence(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -216,7 +222,9 @@
 		return false
 	}
 	s.silenceReportedAt = now
-	s.failedProbes = max(s.failedProbes, failedProbesBeforeSilent-1)
+	if now.Sub(s.answeredAt) > peerProbeSpan {
+		s.failedProbes = max(s.failedProbes, failedProbesBeforeSilent-1)
+	}
 	return true
 }
 
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -91,8 +91,8 @@
 
 // RequestProbe requests at now a probe of the endpoint with the given token, which a
 // peer has found silent. The probes of the peer count as one that failed here, so that
-// the next one decides. It does nothing if the endpoint is unknown, ended or already
-// silent.
+// the next one decides, unless the endpoint has answered here meanwhile. It does nothing
+// if the endpoint is unknown, ended or already silent.
 func (r *Router) RequestProbe(token carawaycart.Token, now time.Time) {
 	t := r.table.Load()
 	if t == nil {
--- a/core/steer/silence_test.go
+++ b/core/steer/silence_test.go
@@ -247,3 +247,18 @@
 		t.Errorf("got evidence %+v after an answer, want none against the endpoint", got)
 	}
 }
+
+// A peer that is cut off from the endpoints, but not from the instances of its zone,
+// reports them all as silent. Guards against resetting the flows of an endpoint that
+// answers here, because one probe of it is lost by chance.
+func TestReportOfPeerThatIsCutOff(t *testing.T) {
+	f := newFleet(1, 1)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(request(1, feed, d.Token), start.Add(8*time.Millisecond))
+	r.Decide(answered(1, feed, d.Token), start.Add(100*time.Millisecond))
+	r.RequestProbe(d.Token, start.Add(300*time.Millisecond))
+	if got := r.RecordProbe(f.endpoint(d.Endpoint).Key(), false, start.Add(300*time.Millisecond), start.Add(450*time.Millisecond)); got.Silent {
+		t.Error("got the endpoint silent after one lost probe, although it answered shortly before the report")
+	}
+}
--- a/internal/edge/backlog.go
+++ b/internal/edge/backlog.go
@@ -28,7 +28,7 @@
 		case <-r.Configured():
 		}
 		sent := 0
-		packets := b.Take(k.Now())
+		packets, discarded := b.Take(k.Now())
 		for _, p := range packets {
 			if data, to, ok := t.Translate(p); ok {
 				if _, err := conn.WriteToUDPAddrPort(data, to); err == nil {
@@ -36,7 +36,7 @@
 				}
 			}
 		}
-		log.Event("backlog").Int("packets", int64(len(packets))).Int("sent", int64(sent)).End()
+		log.Event("backlog").Int("packets", int64(len(packets))).Int("sent", int64(sent)).Int("discarded", int64(discarded)).End()
 	})
 	return s
 }
