--- a/core/directory/schedule.go
+++ b/core/directory/schedule.go
@@ -129,9 +129,9 @@
 
 // readDelay returns how much longer than readPeriod the instance waits for others to
 // read. The delay grows with the position of the zone in sorted order, and with the
-// instance's rank in the zone by rendezvous hash. Instances whose reads have just failed
-// do not count. An instance that is not listed comes
-// after the first ranks, because it cannot tell how many such instances there are.
+// instance's rank in the zone by rendezvous hash, where instances whose reads have just
+// failed do not count. An instance that is not listed comes after the first ranks,
+// because it cannot tell how many such instances there are.
 func readDelay(s *ReadState, now time.Time) time.Duration {
 	key := rendezvous.NewKey("reader")
 	ownScore := rendezvous.Score(rendezvous.NewName(string(s.Self)), key)
