Fetch only the ended lifetimes from another zone after a start

Cause: every instance that starts asks another zone twice for the lifetimes that have ended, and got the keys of the whole directory with them. Change: the request says that only ended lifetimes are wanted.

--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -313,6 +313,24 @@
 	return d.requestSnapshot(ctx, address, name, &message.DirectoryRequest{Revision: uint64(d.view.State().Revision)})
 }
 
+// FetchEnded fetches the recently ended lifetimes from the peer at address, without the
+// rest of its directory, and records them in the view. The name identifies the peer in
+// the log.
+func (d *Disseminator) FetchEnded(ctx context.Context, address netip.AddrPort, name string) {
+	reply := &message.DirectoryCopy{}
+	err := d.client.Call(ctx, address, "Directory", &message.DirectoryRequest{Revision: uint64(d.view.State().Revision), EndedOnly: true}, reply)
+	var snapshot directory.Snapshot
+	if err == nil {
+		snapshot, err = message.ToSnapshot(reply)
+	}
+	if err != nil {
+		d.client.Disconnect(address)
+		d.log.Event("fetchFailed").Text("peer", name).Err(err).End()
+		return
+	}
+	d.view.RecordEnded(snapshot.Ended, name)
+}
+
 // requestSnapshot sends r to the peer at address and applies the reply to the view,
 // with the results of Fetch. It closes the connection to the peer if the request
 // failed.
@@ -335,7 +353,7 @@
 }
 
 // Directory returns a snapshot of the changes since the revision of the requesting
-// peer, and records the peer's registration if it asks for one. It returns a NotValid
+// peer, or only the ended lifetimes if it asks for these, and records the peer's registration if it asks for one. It returns a NotValid
 // error if the registration is.
 func (d *Disseminator) Directory(r *message.DirectoryRequest) (*message.DirectoryCopy, error) {
 	if r.GetId() != "" {
@@ -349,6 +367,9 @@
 		}
 		d.registrar.RequestRegistration(registration)
 	}
+	if r.GetEndedOnly() {
+		return message.FromSnapshot(directory.Snapshot{Ended: d.view.EndedLifetimes()}, 0)
+	}
 	return d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), d.clock.Now())
 }
 
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -132,3 +133,45 @@
 		t.Errorf("got revision %d after a read at revision 12", got)
 	}
 }
+
+// Every instance that starts asks another zone for the lifetimes that have ended. Guards
+// against sending it the keys of a whole directory, which costs 40 KB at 3,000 endpoints,
+// and against taking the short reply for a directory without items.
+func TestFetchEndedBringsOnlyEndedLifetimes(t *testing.T) {
+	running, runningView := newTestDisseminator(t)
+	items := make([]carawaycart.StoreItem, 3000)
+	for n := range items {
+		items[n] = carawaycart.StoreItem{Key: fmt.Sprintf("servers/i-%08x", n*2654435761), Revision: 11}
+	}
+	second := carawaycart.StoreItem{
+		Key: "servers/i-2", Revision: 11,
+		Value: []byte(`{"service":"desk","address":"127.0.0.1:10","zone":"a","slots":2,"state":"ready","cold_left_ms":0}`),
+	}
+	runningView.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{second}}, running.clock.Now()) // i-1 has ended
+	runningView.ApplyRead(platform.RangeResult{Revision: 12, Items: items}, running.clock.Now())                           // i-2 has ended
+	reply, err := running.Directory(&message.DirectoryRequest{EndedOnly: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := proto.Size(reply); got > 100 {
+		t.Errorf("got a reply of %d bytes for two ended lifetimes, want at most 100", got)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := peer.NewDirectoryServer(listener, running, NewCounters())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	started, view := newTestDisseminator(t) // knows i-1 only
+	view.ApplyRead(platform.RangeResult{Revision: 12, Items: items[:1]}, started.clock.Now())
+	started.FetchEnded(t.Context(), listener.Addr().(*net.TCPAddr).AddrPort(), "running")
+	if got := view.EndedLifetimes(); len(got) != 2 {
+		t.Errorf("got ended lifetimes %v, want i-1 and i-2", got)
+	}
+	if got := view.State().Revision; got != 12 {
+		t.Errorf("got revision %d, want 12", got)
+	}
+}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// fetchEnded fetches a snapshot, which includes the ended lifetimes, from a random
-// instance of another zone, or of the own zone if there is no other.
+// fetchEnded fetches the ended lifetimes from a random instance of another zone, or of
+// the own zone if there is no other.
 func (e *Instance) fetchEnded() {
 	instances := e.view.State().Instances
 	peers := e.disseminator.remotePeers(instances)
@@ -168,7 +168,7 @@
 	chosen := peers[rand.IntN(len(peers))]
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	e.disseminator.Fetch(ctx, chosen.PeerAddress, string(chosen.ID))
+	e.disseminator.FetchEnded(ctx, chosen.PeerAddress, string(chosen.ID))
 }
 
 // Reload applies settings that were read again, or logs err if they could not be
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -226,6 +226,24 @@
 	v.failedReads.RecordFailure(id, when)
 }
 
+// EndedLifetimes returns the lifetimes that have ended recently, which the store does not
+// list.
+func (v *View) EndedLifetimes() []carawaycart.LifetimeKey {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.tracker.EndedLifetimes()
+}
+
+// RecordEnded records lifetimes that the peer from reports as ended.
+func (v *View) RecordEnded(keys []carawaycart.LifetimeKey, from string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	if v.tracker.RecordEnded(keys, now) {
+		v.rebuild(from, now)
+	}
+}
+
 // SnapshotSince returns the snapshot that a peer needs whose view is complete up to
 // revision, and the start of the read of the store that the snapshot reflects.
 func (v *View) SnapshotSince(revision carawaycart.StoreRevision) (directory.Snapshot, time.Time) {
