--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -292,7 +292,9 @@
 	if c.Config == nil {
 		return
 	}
-	c.Lifetimes = slices.DeleteFunc(c.Lifetimes, func(l *carawaycart.Lifetime) bool {
-		return !slices.ContainsFunc(c.Config.Services, func(s carawaycart.ServicePolicy) bool { return s.ID == l.Service })
-	})
+	configured := make(map[carawaycart.ServiceID]bool, len(c.Config.Services))
+	for i := range c.Config.Services {
+		configured[c.Config.Services[i].ID] = true
+	}
+	c.Lifetimes = slices.DeleteFunc(c.Lifetimes, func(l *carawaycart.Lifetime) bool { return !configured[l.Service] })
 }
