Send peers the removed keys instead of all keys

Cause: a change that does not fit into a datagram is fetched by all instances, each time with the keys of all items. Ruled out: a log of removals alone, which misses an item that came and went between two reads of the sender while the peer had read it (found by TestDirectoriesConverge).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -23,6 +23,7 @@
 	revision       carawaycart.StoreRevision
 	decodeFailures int
 	refusals       []Refusal
+	removals       removalLog
 }
 
 // Refusal is an item that could not be decoded.
@@ -82,7 +83,7 @@
 		}
 	}
 	delta.RemovedKeys = d.removeAbsent(present, revision)
-	d.revision = revision
+	d.advance(revision)
 	return delta
 }
 
@@ -98,9 +99,16 @@
 		}
 	}
 	slices.Sort(removed)
+	d.removals.add(removed, revision)
 	return removed
 }
 
+// advance records that the directory is complete up to revision r.
+func (d *Directory) advance(r carawaycart.StoreRevision) {
+	d.revision = r
+	d.removals.advance(r)
+}
+
 // ApplyDelta applies a delta and reports whether the directory is now complete up to
 // delta.To. It returns false and changes nothing if the directory is older
 // than delta.From.
@@ -135,6 +143,7 @@
 	for _, i := range delta.Items {
 		d.insert(i)
 	}
+	removed := slices.Clone(delta.RemovedKeys)
 	for _, key := range delta.RemovedKeys {
 		if e, ok := d.items[key]; ok && e.item.Revision <= delta.To {
 			delete(d.items, key)
@@ -144,13 +153,40 @@
 		for key, e := range d.items {
 			if _, ok := written[key]; !ok && e.item.Revision > delta.From && e.item.Revision <= delta.To {
 				delete(d.items, key)
+				removed = append(removed, key)
 			}
 		}
 	}
-	d.revision = delta.To
+	d.removals.add(removed, delta.To)
+	d.advance(delta.To)
 	return true
 }
 
+// DeltaSince returns the changes after revision r, up to which the directory of a peer is
+// complete. It returns false if the directory does not know all removals after r; the
+// peer then needs a snapshot. It knows them if it was itself complete up to exactly r: an
+// item that was written before r and removed after it may have come and gone between two
+// reads otherwise.
+func (d *Directory) DeltaSince(r carawaycart.StoreRevision) (Delta, bool) {
+	if r == 0 || r > d.revision {
+		return Delta{}, false
+	}
+	removed, ok := d.removals.after(r)
+	if !ok {
+		return Delta{}, false
+	}
+	delta := Delta{From: r, To: d.revision}
+	for _, e := range d.items {
+		if e.item.Revision > r {
+			delta.Items = append(delta.Items, e.item)
+		}
+	}
+	slices.SortFunc(delta.Items, func(a, b carawaycart.StoreItem) int { return cmp.Compare(a.Key, b.Key) })
+	// A key that was written again is not removed.
+	delta.RemovedKeys = slices.DeleteFunc(removed, func(key string) bool { _, ok := d.items[key]; return ok })
+	return delta, true
+}
+
 // Snapshot is a snapshot of a directory, reduced to what a peer needs whose own
 // directory is complete up to an earlier revision.
 type Snapshot struct {
@@ -158,6 +194,10 @@
 	Items    []carawaycart.StoreItem   // items written after the peer's revision
 	Keys     []string                  // keys of all items
 	Ended    []carawaycart.LifetimeKey // recently ended lifetimes, which the store does not list
+
+	// Delta replaces Items and Keys if the peer can apply it and the sender knows all
+	// removals after the peer's revision. It is nil otherwise.
+	Delta *Delta
 }
 
 // SnapshotSince returns the snapshot for a peer whose directory is complete up to
@@ -190,7 +230,7 @@
 		present[key] = struct{}{}
 	}
 	d.removeAbsent(present, s.Revision)
-	d.revision = s.Revision
+	d.advance(s.Revision)
 	return true
 }
 
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -179,7 +179,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			d := directories[rapid.IntRange(0, 2).Draw(t, "directory")]
 			before := d.Revision()
-			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
 			case 0, 1:
 				key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
 				s.write(key, fmt.Sprint(s.revision))
@@ -193,6 +193,11 @@
 				}
 			case 5:
 				d.ApplySnapshot(directories[rapid.IntRange(0, 2).Draw(t, "from")].SnapshotSince(d.Revision()))
+			case 6:
+				if delta, ok := directories[rapid.IntRange(0, 2).Draw(t, "from")].DeltaSince(d.Revision()); ok {
+					deltas = append(deltas, delta)
+					d.ApplyDelta(delta)
+				}
 			}
 			if d.Revision() < before {
 				t.Fatalf("got revision %d after revision %d, want no older one", d.Revision(), before)
@@ -274,3 +279,42 @@
 		t.Errorf("got %+v, want a once, as written last, and three others", got)
 	}
 }
+
+// Guards against a peer that keeps removed items because the removals were forgotten, and
+// against the keys of all items in place of the few that were removed.
+func TestDeltaSince(t *testing.T) {
+	d := directory.New(decodeZone)
+	if _, ok := d.DeltaSince(0); ok {
+		t.Error("got a delta of an empty directory")
+	}
+	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4), item("c", "1", 4)}, 5)
+	d.ApplyRead([]carawaycart.StoreItem{item("b", "1", 4)}, 7)
+	d.ApplyRead([]carawaycart.StoreItem{item("b", "2", 8), item("a", "2", 9)}, 9)
+	for _, test := range []struct {
+		since carawaycart.StoreRevision
+		want  *directory.Delta
+	}{
+		{4, nil}, // before the first read
+		{5, &directory.Delta{From: 5, To: 9, Items: []carawaycart.StoreItem{item("a", "2", 9), item("b", "2", 8)}, RemovedKeys: []string{"c"}}},
+		{7, &directory.Delta{From: 7, To: 9, Items: []carawaycart.StoreItem{item("a", "2", 9), item("b", "2", 8)}}},
+		{8, nil}, // between two reads
+		{9, &directory.Delta{From: 9, To: 9}},
+		{10, nil}, // a peer that is ahead
+	} {
+		got, ok := d.DeltaSince(test.since)
+		if ok != (test.want != nil) || ok && (!reflect.DeepEqual(got.Items, test.want.Items) || !slices.Equal(got.RemovedKeys, test.want.RemovedKeys) || got.To != test.want.To) {
+			t.Errorf("since %d: got %+v, %t, want %+v", test.since, got, ok, test.want)
+		}
+	}
+	revision := carawaycart.StoreRevision(9)
+	for n := range 5000 { // each read removes an item, more than are remembered
+		revision++
+		d.ApplyRead([]carawaycart.StoreItem{item(fmt.Sprint("k", n), "1", revision)}, revision)
+	}
+	if _, ok := d.DeltaSince(9); ok {
+		t.Error("got a delta from before the removals that are remembered")
+	}
+	if got, ok := d.DeltaSince(revision - 10); !ok || len(got.RemovedKeys) != 10 {
+		t.Errorf("got %d removals, %t, want the last 10", len(got.RemovedKeys), ok)
+	}
+}
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -303,6 +303,7 @@
 func (d *Disseminator) Join(ctx context.Context, address netip.AddrPort, own carawaycart.Registration) bool {
 	return d.requestSnapshot(ctx, address, address.String(), &message.DirectoryRequest{
 		Revision: uint64(d.view.State().Revision), Id: string(own.ID), Zone: string(own.Zone), PeerAddress: own.PeerAddress.String(),
+		AcceptsDelta: true,
 	})
 }
 
@@ -310,7 +311,7 @@
 // returns false if the request failed or the peer has not read the store yet. The
 // name identifies the peer in the log.
 func (d *Disseminator) Fetch(ctx context.Context, address netip.AddrPort, name string) bool {
-	return d.requestSnapshot(ctx, address, name, &message.DirectoryRequest{Revision: uint64(d.view.State().Revision)})
+	return d.requestSnapshot(ctx, address, name, &message.DirectoryRequest{Revision: uint64(d.view.State().Revision), AcceptsDelta: true})
 }
 
 // FetchEnded fetches the recently ended lifetimes from the peer at address, without the
@@ -341,8 +342,12 @@
 	if err == nil {
 		var snapshot directory.Snapshot
 		if snapshot, err = message.ToSnapshot(reply); err == nil && snapshot.Revision > 0 {
-			d.view.ApplySnapshot(snapshot, name, began.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond))
-			return true
+			if d.view.ApplySnapshot(snapshot, name, began.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond)) {
+				return true
+			}
+			whole := proto.Clone(r).(*message.DirectoryRequest)
+			whole.AcceptsDelta = false
+			return d.requestSnapshot(ctx, address, name, whole)
 		}
 	}
 	if err != nil {
@@ -370,7 +375,7 @@
 	if r.GetEndedOnly() {
 		return message.FromSnapshot(directory.Snapshot{Ended: d.view.EndedLifetimes()}, 0)
 	}
-	return d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), d.clock.Now())
+	return d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), r.GetAcceptsDelta(), d.clock.Now())
 }
 
 // snapshotCacheTTL is how long an encoded snapshot is reused for peers at the same
@@ -382,6 +387,7 @@
 type snapshotCache struct {
 	mu              sync.Mutex
 	since, revision carawaycart.StoreRevision // reply updates a directory from since to revision
+	acceptsDelta    bool                      // whether reply may hold a delta
 	readAt          time.Time                 // start of the read of the store that reply reflects
 	encodedAt       time.Time                 // when reply was encoded
 	reply           *message.DirectoryCopy
@@ -390,16 +396,16 @@
 // get returns the snapshot that a peer needs whose view is complete up to since. Its
 // age is that of the read at now. It returns an error if the snapshot cannot be
 // encoded.
-func (c *snapshotCache) get(view *View, since carawaycart.StoreRevision, now time.Time) (*message.DirectoryCopy, error) {
+func (c *snapshotCache) get(view *View, since carawaycart.StoreRevision, acceptsDelta bool, now time.Time) (*message.DirectoryCopy, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reply == nil || c.since != since || c.revision != view.State().Revision || now.Sub(c.encodedAt) > snapshotCacheTTL {
-		snapshot, readAt := view.SnapshotSince(since)
+	if c.reply == nil || c.since != since || c.acceptsDelta != acceptsDelta || c.revision != view.State().Revision || now.Sub(c.encodedAt) > snapshotCacheTTL {
+		snapshot, readAt := view.SnapshotSince(since, acceptsDelta)
 		reply, err := message.FromSnapshot(snapshot, 0)
 		if err != nil {
 			return nil, err
 		}
-		c.since, c.revision, c.readAt, c.encodedAt, c.reply = since, snapshot.Revision, readAt, now, reply
+		c.since, c.acceptsDelta, c.revision, c.readAt, c.encodedAt, c.reply = since, acceptsDelta, snapshot.Revision, readAt, now, reply
 	}
 	age := max(now.Sub(c.readAt), 0)
 	return &message.DirectoryCopy{
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -175,3 +175,49 @@
 		t.Errorf("got revision %d, want 12", got)
 	}
 }
+
+// Each change that does not fit into a datagram is fetched by all instances of a fleet.
+// Guards against sending the keys of all items with it, and against an earlier version
+// that would take a delta for a directory with few items.
+func TestFetchAfterChangeBringsOnlyTheChange(t *testing.T) {
+	running, runningView := newTestDisseminator(t)
+	behind, behindView := newTestDisseminator(t)
+	items := make([]carawaycart.StoreItem, 3000)
+	for n := range items {
+		items[n] = carawaycart.StoreItem{Key: fmt.Sprintf("servers/i-%08x", n*2654435761), Revision: 11}
+	}
+	for _, v := range []*View{runningView, behindView} {
+		v.ApplyRead(platform.RangeResult{Revision: 12, Items: items}, running.clock.Now())
+	}
+	runningView.ApplyRead(platform.RangeResult{Revision: 14, Items: items[1:]}, running.clock.Now())
+	sizes := make(map[bool]int)
+	for _, acceptsDelta := range []bool{true, false} {
+		reply, err := running.Directory(&message.DirectoryRequest{Revision: 12, AcceptsDelta: acceptsDelta})
+		if err != nil {
+			t.Fatal(err)
+		}
+		snapshot, err := message.ToSnapshot(reply)
+		if err != nil || (snapshot.Delta != nil) != acceptsDelta {
+			t.Fatalf("accepts delta %t: got delta %v, %v", acceptsDelta, snapshot.Delta, err)
+		}
+		sizes[acceptsDelta] = proto.Size(reply)
+	}
+	if sizes[true] > 200 || sizes[false] < 10000 {
+		t.Errorf("got %d bytes for one removed item, and %d for a snapshot; want at most 200, and all keys", sizes[true], sizes[false])
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := peer.NewDirectoryServer(listener, running, NewCounters())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	if !behind.Fetch(t.Context(), listener.Addr().(*net.TCPAddr).AddrPort(), "running") {
+		t.Fatal("the fetch failed")
+	}
+	if got := behindView.State().Revision; got != 14 {
+		t.Errorf("got revision %d, want 14", got)
+	}
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -121,12 +121,16 @@
 }
 
 // ApplySnapshot applies a snapshot received from the peer from, for a read of the
-// store that began at began.
-func (v *View) ApplySnapshot(snapshot directory.Snapshot, from string, began time.Time) {
+// store that began at began. It returns false if the snapshot holds a delta that the
+// view cannot apply, so that one without is needed.
+func (v *View) ApplySnapshot(snapshot directory.Snapshot, from string, began time.Time) bool {
+	if snapshot.Delta != nil {
+		return v.ApplyUpdate(*snapshot.Delta, from, began)
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.believes(snapshot.Revision) {
-		return
+		return true // nothing that another snapshot could mend
 	}
 	endedAdded := v.tracker.RecordEnded(snapshot.Ended, v.clock.Now())
 	changed := v.directory.ApplySnapshot(snapshot) || endedAdded
@@ -135,6 +139,7 @@
 	} else if endedAdded {
 		v.rebuild(from, v.clock.Now())
 	}
+	return true
 }
 
 // believes reports whether r, which a peer has sent, may be a revision of the store. It
@@ -245,10 +250,16 @@
 }
 
 // SnapshotSince returns the snapshot that a peer needs whose view is complete up to
-// revision, and the start of the read of the store that the snapshot reflects.
-func (v *View) SnapshotSince(revision carawaycart.StoreRevision) (directory.Snapshot, time.Time) {
+// revision, and the start of the read of the store that the snapshot reflects. The
+// snapshot holds only a delta if the peer accepts one and the removals are known.
+func (v *View) SnapshotSince(revision carawaycart.StoreRevision, acceptsDelta bool) (directory.Snapshot, time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if acceptsDelta {
+		if delta, ok := v.directory.DeltaSince(revision); ok {
+			return directory.Snapshot{Revision: delta.To, Delta: &delta}, v.lastReadAt
+		}
+	}
 	snapshot := v.directory.SnapshotSince(revision)
 	snapshot.Ended = v.tracker.EndedLifetimes()
 	return snapshot, v.lastReadAt
--- a/message/directory.go
+++ b/message/directory.go
@@ -47,6 +47,9 @@
 // store was read.
 func FromSnapshot(s directory.Snapshot, age time.Duration) (*DirectoryCopy, error) {
 	body := &DirectoryBody{Items: FromItems(s.Items), Keys: s.Keys}
+	if s.Delta != nil {
+		body = &DirectoryBody{Items: FromItems(s.Delta.Items), FromRevision: uint64(s.Delta.From), Removed: s.Delta.RemovedKeys}
+	}
 	for _, k := range s.Ended {
 		body.Ended = append(body.Ended, &EndedLifetime{Id: string(k.ID), BornMs: int64(k.StartedAt)})
 	}
@@ -82,7 +85,14 @@
 	if err := proto.Unmarshal(data, body); err != nil {
 		return directory.Snapshot{}, errors.NewNotValid(err, "directory snapshot")
 	}
-	s := directory.Snapshot{Revision: carawaycart.StoreRevision(m.GetAtRevision()), Items: ToItems(body.GetItems()), Keys: body.GetKeys()}
+	s := directory.Snapshot{Revision: carawaycart.StoreRevision(m.GetAtRevision())}
+	if from := body.GetFromRevision(); from != 0 {
+		s.Delta = &directory.Delta{
+			From: carawaycart.StoreRevision(from), To: s.Revision, Items: ToItems(body.GetItems()), RemovedKeys: body.GetRemoved(),
+		}
+	} else {
+		s.Items, s.Keys = ToItems(body.GetItems()), body.GetKeys()
+	}
 	for _, e := range body.GetEnded() {
 		s.Ended = append(s.Ended, carawaycart.LifetimeKey{
 			ID: carawaycart.EndpointID(e.GetId()), StartedAt: carawaycart.UnixMillis(e.GetBornMs()),
