Do not take a long read for a failed one, nor a full link for a silent endpoint

After big_config a read of the store takes over 250 ms on a 10 Mbit/s link. The reads filled the links, probes got no answer in time, and open flows of living endpoints were reset. Change: a read counts as overdue if no answer begins within 500 ms; its length says nothing. While an answer of the store has been arriving for over 50 ms, a failed probe is no evidence and is repeated.

--- a/core/directory/schedule.go
+++ b/core/directory/schedule.go
@@ -38,9 +38,11 @@
 	failedReadDelay     = 50 * time.Millisecond
 	maxFailedReadFactor = 3
 
-	// OverdueRead is the time after which a read that has not ended counts as failed for
-	// the other instances. A read takes up to 120 ms on a 10 Mbit/s link.
-	OverdueRead = 250 * time.Millisecond
+	// OverdueRead is the time after which a read without the beginning of an answer counts
+	// as failed for the other instances. The store answers within 4 ms, or 344 ms when it
+	// is slow. How long the rest of a large answer takes on a narrow link says nothing of
+	// the store: others would read too, and fill the links.
+	OverdueRead = 500 * time.Millisecond
 
 	// RetryPeriod is the time for which an instance waits after its own read has failed.
 	// The time doubles with each further failure, up to maxRetryPeriod.
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -16,9 +16,16 @@
 	"carawaycart/platform"
 )
 
-// newTestDisseminator returns a disseminator of an instance that has read the store at
-// revision 10, with one endpoint.
+// newTestDisseminator returns the disseminator and view of newTestInstance.
 func newTestDisseminator(tb testing.TB) (*Disseminator, *View) {
+	tb.Helper()
+	d, v, _ := newTestInstance(tb)
+	return d, v
+}
+
+// newTestInstance returns parts of an instance that has read the store at revision 10,
+// with one endpoint, which listens nowhere.
+func newTestInstance(tb testing.TB) (*Disseminator, *View, *Prober) {
 	tb.Helper()
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -31,6 +38,7 @@
 	r := steer.NewRouter("a", rand.NewPCG(1, 1), o)
 	prober.router = r
 	prober.reset, prober.notifySilent = func([]carawaycart.Packet) {}, func(carawaycart.Token) {}
+	prober.loading = func() bool { return false }
 	v := NewView("self", steer.ColdLimits{}, r, clock, nil)
 	own := carawaycart.Registration{ID: "self", Zone: "a", PeerAddress: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
 	store := platform.NewStore("http://127.0.0.1:1", nil)
@@ -47,7 +55,7 @@
 		client.Close()
 		store.Close()
 	})
-	return d, v
+	return d, v, prober
 }
 
 // Guards against a datagram that ends the process, moves the clock of reads into the
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -59,6 +59,7 @@
 	readyServer    *http.Server
 	operatorServer *operator.Server
 
+	loading        atomic.Pointer[Reader] // the reader, for goroutines that start before it
 	stopping       atomic.Bool
 	loggedIsolated atomic.Bool  // value in the last logged isolated event
 	lastPacket     atomic.Int64 // time of the last packet, in Unix nanoseconds of clock
@@ -82,6 +83,7 @@
 	e.registrar = NewRegistrar(own, e.store, e.view, clock, log)
 	e.disseminator = NewDisseminator(s.ID, s.Zone, e.view, e.router, sockets.Updates, e.client, e.registrar, clock, log)
 	routerObserver.disseminator = e.disseminator
+	e.prober.loading = func() bool { r := e.loading.Load(); return r != nil && r.Loading() }
 	e.prober.notifySilent = e.disseminator.BroadcastSilent
 	e.prober.reset = (&resetter{conn: sockets.Fabric, port: s.FabricAddress.Port(), counters: e.counters, log: log}).reset
 	var err error
@@ -109,6 +111,7 @@
 	e.operatorServer = operator.NewServer(sockets.Operator, e, e.counters.Registry)
 	e.timer = newDeadlineTimer(e.router, clock)
 	e.reader = NewReader(s, e.store, e.view, e.disseminator, e.registrar, clock, log)
+	e.loading.Store(e.reader)
 	go e.join(own)
 	log.Event("started").Text("zone", string(s.Zone)).Text("store", s.StoreURL).End()
 	return e, nil
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -31,6 +31,7 @@
 	router       *steer.Router
 	notifySilent func(carawaycart.Token)    // informs peers that an endpoint is silent
 	reset        func([]carawaycart.Packet) // resets the flows of packets
+	loading      func() bool                // whether a large transfer may fill the own link
 	clock        carawaycart.Clock
 	counters     *Counters
 	log          *eventlog.Log
@@ -45,8 +46,8 @@
 	recovered chan struct{}
 }
 
-// NewProber returns a prober. Its router, notifySilent and reset must be set before
-// Probe is called.
+// NewProber returns a prober. Its router, notifySilent, reset and loading must be set
+// before Probe is called.
 func NewProber(k carawaycart.Clock, c *Counters, log *eventlog.Log) *Prober {
 	p := &Prober{
 		clock: k, counters: c, log: log, probing: make(map[carawaycart.LifetimeKey]bool), recovered: make(chan struct{}),
@@ -86,8 +87,12 @@
 		}()
 		for period := initialProbePeriod; ; period = min(2*period, maxProbePeriod) {
 			began := p.clock.Now()
+			loaded := p.loading()
 			alive := p.probeOnce("http://"+address+p.router.Table().HealthPath(service), id)
 			recovered := p.nextRecovery()
+			if !alive && (loaded || p.loading()) && p.wait(initialProbePeriod, nil) {
+				continue // the own link may be full, which is no evidence against the endpoint
+			}
 			result := p.router.RecordProbe(key, alive, began, p.clock.Now())
 			switch {
 			case result.Recovered:
@@ -101,17 +106,31 @@
 			if !result.Again {
 				return
 			}
-			select {
-			case <-p.ctx.Done():
+			if !p.wait(period, recovered) {
 				return
+			}
+			select {
 			case <-recovered:
 				period = initialProbePeriod
-			case <-time.After(period):
+			default:
 			}
 		}
 	})
 }
 
+// wait waits for d, or until early is closed. It returns false if the prober is closed.
+func (p *Prober) wait(d time.Duration, early <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-p.ctx.Done():
+		return false
+	case <-early:
+	case <-t.C:
+	}
+	return true
+}
+
 // nextRecovery returns a channel that is closed when an endpoint that was silent next
 // answers again.
 func (p *Prober) nextRecovery() <-chan struct{} {
--- a/internal/edge/prober_test.go
+++ b/internal/edge/prober_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"carawaycart"
 )
@@ -57,3 +59,24 @@
 		t.Error("got not alive for an endpoint that accepts connections, want alive")
 	}
 }
+
+// A large answer of the store fills a narrow link, so that probes get no answer in time.
+// Guards against taking the endpoint for silent, and resetting its flows, meanwhile.
+func TestProbeWhileTheOwnLinkIsFull(t *testing.T) {
+	d, _, prober := newTestInstance(t)
+	var loading atomic.Bool
+	loading.Store(true)
+	prober.loading = loading.Load
+	endpoint := d.router.Endpoints(d.clock.Now())[0].Lifetime
+	prober.Probe(&endpoint)
+	time.Sleep(600 * time.Millisecond) // several probes
+	if d.router.Endpoints(d.clock.Now())[0].Silent {
+		t.Error("got the endpoint silent while the own link is full")
+	}
+	loading.Store(false)
+	for end := time.Now().Add(10 * time.Second); !d.router.Endpoints(d.clock.Now())[0].Silent; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("got the endpoint not silent after the link was free")
+		}
+	}
+}
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carawaycart"
@@ -49,8 +51,11 @@
 	firstRead time.Time // when the store is first read if no seed has answered
 	failures  int       // consecutive failed reads
 	retryAt   time.Time // when the store may be read again after a failed read
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+	// loadingSince is when the answer to the read in progress began to arrive, in Unix
+	// nanoseconds of clock; zero if there is none.
+	loadingSince atomic.Int64
+	cancel       context.CancelFunc
+	done         sync.WaitGroup
 }
 
 // NewReader returns a reader for the instance with settings s. It reads store into
@@ -73,6 +78,17 @@
 	r.done.Wait()
 }
 
+// longLoad is the time for which an answer of the store arrives before it counts as filling
+// the link of the instance.
+const longLoad = 50 * time.Millisecond
+
+// Loading reports whether an answer of the store has been arriving for so long that it may
+// delay other traffic of the instance.
+func (r *Reader) Loading() bool {
+	since := r.loadingSince.Load()
+	return since != 0 && r.clock.Now().Sub(time.Unix(0, since)) > longLoad
+}
+
 // headStart returns how long the instance waits for its seeds before it reads the
 // store. It is zero for an instance that is a seed or has no seeds.
 func headStart(s settings.Settings) time.Duration {
@@ -144,6 +160,11 @@
 	began := r.clock.Now()
 	overdue := time.AfterFunc(directory.OverdueRead, r.disseminator.BroadcastFailedRead)
 	defer overdue.Stop()
+	callCtx = httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		overdue.Stop()
+		r.loadingSince.CompareAndSwap(0, r.clock.Now().UnixNano())
+	}})
+	defer r.loadingSince.Store(0)
 	read, err := r.store.ReadAll(callCtx, "")
 	now := r.clock.Now()
 	if err != nil {
@@ -159,9 +180,7 @@
 		}
 		r.retryAt = now.Add(directory.Backoff(period, r.failures))
 		r.log.Event("storeFailed").Int("failures", int64(r.failures)).Millis("tookMs", now.Sub(began)).Err(err).End()
-		if overdue.Stop() {
-			r.disseminator.BroadcastFailedRead()
-		}
+		r.disseminator.BroadcastFailedRead()
 		return
 	}
 	if r.failures > 0 {
