--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -55,6 +55,7 @@
 	router    *steer.Router
 	registrar *Registrar
 	snapshots snapshotCache
+	sent      linkLoad // of snapshots to peers
 	done      sync.WaitGroup
 
 	mu       sync.Mutex
@@ -357,6 +358,10 @@
 	return false
 }
 
+// Sending reports whether the snapshots that peers have fetched may still fill the link of
+// the instance.
+func (d *Disseminator) Sending() bool { return d.sent.full(d.clock.Now()) }
+
 // Directory returns a snapshot of the changes since the revision of the requesting
 // peer, or only the ended lifetimes if it asks for these, and records the peer's registration if it asks for one. It returns a NotValid
 // error if the registration is.
@@ -375,7 +380,12 @@
 	if r.GetEndedOnly() {
 		return message.FromSnapshot(directory.Snapshot{Ended: d.view.EndedLifetimes()}, 0)
 	}
-	return d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), r.GetAcceptsDelta(), d.clock.Now())
+	now := d.clock.Now()
+	reply, err := d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), r.GetAcceptsDelta(), now)
+	if err == nil {
+		d.sent.add(len(reply.GetCompressedBody()), now)
+	}
+	return reply, err
 }
 
 // snapshotCacheTTL is how long an encoded snapshot is reused for peers at the same
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -83,7 +83,10 @@
 	e.registrar = NewRegistrar(own, e.store, e.view, clock, log)
 	e.disseminator = NewDisseminator(s.ID, s.Zone, e.view, e.router, sockets.Updates, e.client, e.registrar, clock, log)
 	routerObserver.disseminator = e.disseminator
-	e.prober.loading = func() bool { r := e.loading.Load(); return r != nil && r.Loading() }
+	e.prober.loading = func() bool {
+		r := e.loading.Load()
+		return e.disseminator.Sending() || r != nil && r.Loading()
+	}
 	e.prober.notifySilent = e.disseminator.BroadcastSilent
 	e.prober.reset = (&resetter{conn: sockets.Fabric, port: s.FabricAddress.Port(), counters: e.counters, log: log}).reset
 	var err error
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -78,10 +78,6 @@
 	r.done.Wait()
 }
 
-// longLoad is the time for which an answer of the store arrives before it counts as filling
-// the link of the instance.
-const longLoad = 50 * time.Millisecond
-
 // Loading reports whether an answer of the store has been arriving for so long that it may
 // delay other traffic of the instance.
 func (r *Reader) Loading() bool {
