--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -58,6 +58,31 @@
 	return d, v, prober
 }
 
+// manyItems returns the items of 3,000 endpoints, written at revision 11. They cannot be
+// decoded, which does not matter for their replication.
+func manyItems() []carawaycart.StoreItem {
+	items := make([]carawaycart.StoreItem, 3000)
+	for n := range items {
+		items[n] = carawaycart.StoreItem{Key: fmt.Sprintf("servers/i-%08x", n*2654435761), Revision: 11}
+	}
+	return items
+}
+
+// serveDirectory serves the calls of peers to d and returns the address.
+func serveDirectory(t *testing.T, d *Disseminator) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := peer.NewDirectoryServer(listener, d, NewCounters())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // Guards against a datagram that ends the process, moves the clock of reads into the
 // future, or removes what the instance has read, whatever it holds.
 func FuzzReceive(f *testing.F) {
@@ -147,10 +172,7 @@
 // and against taking the short reply for a directory without items.
 func TestFetchEndedBringsOnlyEndedLifetimes(t *testing.T) {
 	running, runningView := newTestDisseminator(t)
-	items := make([]carawaycart.StoreItem, 3000)
-	for n := range items {
-		items[n] = carawaycart.StoreItem{Key: fmt.Sprintf("servers/i-%08x", n*2654435761), Revision: 11}
-	}
+	items := manyItems()
 	second := carawaycart.StoreItem{
 		Key: "servers/i-2", Revision: 11,
 		Value: []byte(`{"service":"desk","address":"127.0.0.1:10","zone":"a","slots":2,"state":"ready","cold_left_ms":0}`),
@@ -164,18 +186,10 @@
 	if got := proto.Size(reply); got > 100 {
 		t.Errorf("got a reply of %d bytes for two ended lifetimes, want at most 100", got)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := peer.NewDirectoryServer(listener, running, NewCounters())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
+	address := serveDirectory(t, running)
 	started, view := newTestDisseminator(t) // knows i-1 only
 	view.ApplyRead(platform.RangeResult{Revision: 12, Items: items[:1]}, started.clock.Now())
-	started.FetchEnded(t.Context(), listener.Addr().(*net.TCPAddr).AddrPort(), "running")
+	started.FetchEnded(t.Context(), address, "running")
 	if got := view.EndedLifetimes(); len(got) != 2 {
 		t.Errorf("got ended lifetimes %v, want i-1 and i-2", got)
 	}
@@ -190,10 +204,7 @@
 func TestFetchAfterChangeBringsOnlyTheChange(t *testing.T) {
 	running, runningView := newTestDisseminator(t)
 	behind, behindView := newTestDisseminator(t)
-	items := make([]carawaycart.StoreItem, 3000)
-	for n := range items {
-		items[n] = carawaycart.StoreItem{Key: fmt.Sprintf("servers/i-%08x", n*2654435761), Revision: 11}
-	}
+	items := manyItems()
 	for _, v := range []*View{runningView, behindView} {
 		v.ApplyRead(platform.RangeResult{Revision: 12, Items: items}, running.clock.Now())
 	}
@@ -213,16 +224,8 @@
 	if sizes[true] > 200 || sizes[false] < 10000 {
 		t.Errorf("got %d bytes for one removed item, and %d for a snapshot; want at most 200, and all keys", sizes[true], sizes[false])
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server, err := peer.NewDirectoryServer(listener, running, NewCounters())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
-	if !behind.Fetch(t.Context(), listener.Addr().(*net.TCPAddr).AddrPort(), "running") {
+	address := serveDirectory(t, running)
+	if !behind.Fetch(t.Context(), address, "running") {
 		t.Fatal("the fetch failed")
 	}
 	if got := behindView.State().Revision; got != 14 {
