Refresh the view of an instance that has just started

Cause: since only ended lifetimes were fetched after a start, the view of an instance that is not listed yet stayed as it was for 1.3 s. Change: the instance fetches the changes, now a small delta, and the ended lifetimes.

--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -315,10 +315,18 @@
 	return d.requestSnapshot(ctx, address, name, &message.DirectoryRequest{Revision: uint64(d.view.State().Revision), AcceptsDelta: true})
 }
 
-// FetchEnded fetches the recently ended lifetimes from the peer at address, without the
-// rest of its directory, and records them in the view. The name identifies the peer in
-// the log.
-func (d *Disseminator) FetchEnded(ctx context.Context, address netip.AddrPort, name string) {
+// Refresh fetches the changes and the recently ended lifetimes from the peer at address.
+// An instance that is not listed yet gets no updates, so that its view would stay as it
+// was at the start. The name identifies the peer in the log.
+func (d *Disseminator) Refresh(ctx context.Context, address netip.AddrPort, name string) {
+	if d.Fetch(ctx, address, name) {
+		d.fetchEnded(ctx, address, name)
+	}
+}
+
+// fetchEnded fetches the recently ended lifetimes from the peer at address, without the
+// rest of its directory, and records them in the view.
+func (d *Disseminator) fetchEnded(ctx context.Context, address netip.AddrPort, name string) {
 	reply := &message.DirectoryCopy{}
 	err := d.client.Call(ctx, address, "Directory", &message.DirectoryRequest{Revision: uint64(d.view.State().Revision), EndedOnly: true}, reply)
 	var snapshot directory.Snapshot
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -169,8 +169,9 @@
 
 // Every instance that starts asks another zone for the lifetimes that have ended. Guards
 // against sending it the keys of a whole directory, which costs 40 KB at 3,000 endpoints,
-// and against taking the short reply for a directory without items.
-func TestFetchEndedBringsOnlyEndedLifetimes(t *testing.T) {
+// against taking the short reply for a directory without items, and against a view that
+// stays as it was at the start until the instance is listed.
+func TestRefreshBringsChangesAndEndedLifetimes(t *testing.T) {
 	running, runningView := newTestDisseminator(t)
 	items := manyItems()
 	second := carawaycart.StoreItem{
@@ -188,8 +189,8 @@
 	}
 	address := serveDirectory(t, running)
 	started, view := newTestDisseminator(t) // knows i-1 only
-	view.ApplyRead(platform.RangeResult{Revision: 12, Items: items[:1]}, started.clock.Now())
-	started.FetchEnded(t.Context(), address, "running")
+	view.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{second}}, started.clock.Now())
+	started.Refresh(t.Context(), address, "running")
 	if got := view.EndedLifetimes(); len(got) != 2 {
 		t.Errorf("got ended lifetimes %v, want i-1 and i-2", got)
 	}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -124,17 +124,17 @@
 // starting, since all instances may start at the same time.
 const joinRetryPeriod = 50 * time.Millisecond
 
-// Delays before each of the two requests to a peer for the ended lifetimes.
+// Delays before each of the two requests to a peer for changes and ended lifetimes.
 // Endpoints that lose power with their zone return within 1.5 s, and their old
 // lifetimes end only then. The second request finds those.
 const (
-	firstEndedFetchDelay  = 100 * time.Millisecond
-	secondEndedFetchDelay = 2500 * time.Millisecond
+	firstRefreshDelay  = 100 * time.Millisecond
+	secondRefreshDelay = 2500 * time.Millisecond
 )
 
 // join requests a snapshot from the seeds in turn, beginning with a random one,
 // until one of them or the store has answered, or it reaches its own address among
-// the seeds. It then fetches the ended lifetimes twice from a peer of another zone:
+// the seeds. It then fetches changes and ended lifetimes twice from a peer of another zone:
 // the store does not retain ended lifetimes, although packets of their flows still
 // arrive, and peers of the own zone may have started at the same time.
 func (e *Instance) join(own carawaycart.Registration) {
@@ -151,18 +151,18 @@
 		cancel()
 		time.Sleep(joinRetryPeriod)
 	}
-	for _, wait := range []time.Duration{firstEndedFetchDelay, secondEndedFetchDelay} {
+	for _, wait := range []time.Duration{firstRefreshDelay, secondRefreshDelay} {
 		time.Sleep(wait)
 		if e.stopping.Load() {
 			return
 		}
-		e.fetchEnded()
+		e.refresh()
 	}
 }
 
-// fetchEnded fetches the ended lifetimes from a random instance of another zone, or of
-// the own zone if there is no other.
-func (e *Instance) fetchEnded() {
+// refresh fetches the changes and the ended lifetimes from a random instance of another
+// zone, or of the own zone if there is no other.
+func (e *Instance) refresh() {
 	instances := e.view.State().Instances
 	peers := e.disseminator.remotePeers(instances)
 	if len(peers) == 0 {
@@ -174,7 +174,7 @@
 	chosen := peers[rand.IntN(len(peers))]
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	e.disseminator.FetchEnded(ctx, chosen.PeerAddress, string(chosen.ID))
+	e.disseminator.Refresh(ctx, chosen.PeerAddress, string(chosen.ID))
 }
 
 // Reload applies settings that were read again, or logs err if they could not be
