Do not reset open flows on routes that are not known yet

Cause: an unknown route was taken for a removed one. The evidence, the absence of a route, is as old as the view of that instance, and the flow itself (its token) shows that another instance has a newer one.

Now the table retains the routes that it had before for 70 s. Packets of flows on those are reset as before; packets with a known token on other routes are forwarded. First packets are refused as before.

TestFlowOfRouteAddedElsewhereIsNotReset failed before ("got the open flow reset for noRoute by an instance with an older configuration") and passes; its second half checks that a removed route still resets.

--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -118,9 +118,11 @@
 func (r *Router) Table() *Table { return r.table.Load() }
 
 // Decide returns the decision for packet p at now. Without a routing configuration it
-// drops all packets. It resets a flow that sends data to a silent endpoint only if the
-// requests of the route may run more than once, since a reset does not tell the caller
-// whether its request was run.
+// drops all packets. An instance with a newer configuration may have opened a flow on a
+// route that the table does not have yet, so open flows are reset only if their route was
+// removed. A flow that sends data to a silent endpoint is reset only if the requests of the
+// route may run more than once, since a reset does not tell the caller whether its request
+// was run.
 func (r *Router) Decide(p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	t := r.table.Load()
 	if !t.HasConfig() {
@@ -128,7 +130,7 @@
 	}
 	id := newFlowID(&p.Key)
 	route := t.routes[id.service]
-	if route == nil {
+	if route == nil && (p.Kind == carawaycart.PacketFirst || t.isRemoved(id.service, now)) {
 		return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
 	}
 	if p.Kind == carawaycart.PacketFirst {
@@ -140,6 +142,8 @@
 		return r.refuse(p, carawaycart.CauseUnknownToken, false, t.Revision)
 	case e.presence == directory.Ended:
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
+	case route == nil:
+		return forward(e)
 	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now):
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
 	}
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -427,3 +427,29 @@
 		t.Errorf("got %d new flows refused for overload, want none", n)
 	}
 }
+
+// A route was added, a flow opened through an instance that knows it, and the next packets
+// reach an instance that has not read the new configuration yet. Guards against resetting
+// the flow; a flow of a route that was removed is still reset.
+func TestFlowOfRouteAddedElsewhereIsNotReset(t *testing.T) {
+	f := newFleet(2, 2)
+	added := netip.MustParseAddrPort("198.18.0.1:9443")
+	old := f.contents.Config
+	config := *old
+	config.Version++
+	config.Routes = append(config.Routes[:len(config.Routes):len(config.Routes)], carawaycart.Route{
+		Address: added, Kind: carawaycart.RequestSafe, Targets: []carawaycart.RouteTarget{{Service: "desk", Weight: 1}},
+	})
+	f.contents.Config = &config
+	f.setTable(0, f.contents.Instances, start)
+	d := mustForward(t, f.routers[0].Decide(first(1, added), start))
+	f.routers[0].Decide(acknowledgement(1, added, d.Token), start.Add(8*time.Millisecond))
+	if got := f.routers[1].Decide(request(1, added, d.Token), start.Add(100*time.Millisecond)); got.Verdict == carawaycart.VerdictReset {
+		t.Errorf("got the open flow reset for %s by an instance with an older configuration", got.Cause)
+	}
+	f.contents.Config = old
+	f.setTable(0, f.contents.Instances, start.Add(time.Second))
+	if got := f.routers[0].Decide(request(1, added, d.Token), start.Add(time.Second)); got.Verdict != carawaycart.VerdictReset {
+		t.Errorf("got verdict %d for %s after the route was removed, want a reset", got.Verdict, got.Cause)
+	}
+}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -17,10 +17,11 @@
 	ConfigVersion uint64                    // version of the routing configuration; zero without one
 	Revision      carawaycart.StoreRevision // revision of the store that it was built from
 
-	routes   map[packedAddress]*route // routes by service address
-	byToken  map[carawaycart.Token]*endpoint
-	byKey    map[carawaycart.LifetimeKey]*endpoint
-	zonesOut map[carawaycart.ZoneID]bool // zones whose endpoints take no new flows
+	routes       map[packedAddress]*route    // routes by service address
+	removedUntil map[packedAddress]time.Time // when flows on routes that were removed have ended
+	byToken      map[carawaycart.Token]*endpoint
+	byKey        map[carawaycart.LifetimeKey]*endpoint
+	zonesOut     map[carawaycart.ZoneID]bool // zones whose endpoints take no new flows
 
 	policies   map[carawaycart.ServiceID]carawaycart.ServicePolicy
 	admissions map[carawaycart.ServiceID]*admission.Controller // shared by all tables of a router
@@ -92,9 +93,39 @@
 		t.ConfigVersion = in.Contents.Config.Version
 		t.addRoutes(in.Contents.Config)
 	}
+	t.recordRemovedRoutes(previous, now)
 	return t
 }
 
+// removedRouteRetention is how long removed routes are retained. It exceeds the 60 s for
+// which flows may last on the platform.
+const removedRouteRetention = 70 * time.Second
+
+// recordRemovedRoutes records the routes that previous or a table before it had and t does
+// not have.
+func (t *Table) recordRemovedRoutes(previous *Table, now time.Time) {
+	t.removedUntil = make(map[packedAddress]time.Time)
+	if previous == nil {
+		return
+	}
+	for address, until := range previous.removedUntil {
+		if t.routes[address] == nil && now.Before(until) {
+			t.removedUntil[address] = until
+		}
+	}
+	for address := range previous.routes {
+		if t.routes[address] == nil {
+			t.removedUntil[address] = now.Add(removedRouteRetention)
+		}
+	}
+}
+
+// isRemoved reports whether a route to the service address was removed and flows may still
+// use it at now.
+func (t *Table) isRemoved(service packedAddress, now time.Time) bool {
+	return now.Before(t.removedUntil[service])
+}
+
 // addEndpoints adds the endpoints of all lifetimes in in.Lifetimes and assigns their
 // tokens.
 func (t *Table) addEndpoints(in *Input, previous *Table, now time.Time) {
