Take a gap between reads for an outage, whoever noticed it

Callers may see open flows reset after an outage of the store of 1.5 to 2.5 s in which entries of endpoints expired: the first read after it misses them, and the instance ends the lifetimes at once (cause=ended) instead of waiting for the entries to return.

Cause: an outage counted only if an own read had failed, or if two reads began more than 2.5 s apart. Failing instances come last in the order of reads, so the one that reads first after an outage is often one that has not failed, and what it tells its peers carries no failure. Entries expire after three heartbeats of 0.77 s, less the time since the last one.

Now the tracker counts a failure that lasted until now if the result of a read comes more than 1.5 s after the start of the one before. Measured to the arrival, since a read may hang from within the outage. Reads that fail for some instances while others read still delay no end.

TestOutageNoticedByPeersEndsNoLifetime (own read, update of a peer, read that began during the outage) and TestLapsedLifetimeOutlastsSecondOutage failed before ("got the open flow reset for ended by the first read after the outage") and pass. TestReadsThatFailForSomeDoNotDelayTheEnd guards the other direction; it passes before and after.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -23,6 +23,10 @@
 	// before the lifetime counts as ended. The platform guarantees that this
 	// takes about 2 s.
 	lapsedGrace = 2500 * time.Millisecond
+	// minOutage is the time without a read by any instance from which entries may have
+	// expired although their endpoints run: three of their heartbeats of 0.77 s or more,
+	// less the time since the last one. Reads are normally less than a second apart.
+	minOutage = 1500 * time.Millisecond
 	// failureWindow is how long after a store failure an entry that disappears
 	// counts as lapsed instead of ended.
 	failureWindow = 8 * time.Second
@@ -54,6 +58,7 @@
 type LifetimeTracker struct {
 	lifetimes   map[carawaycart.LifetimeKey]*TrackedLifetime
 	lastFailure time.Time // latest known failure of the store; zero if none
+	lastRead    time.Time // start of the last known read of the store; zero if none
 }
 
 // NewLifetimeTracker returns a tracker without lifetimes.
@@ -62,7 +67,19 @@
 }
 
 // RecordStoreFailure records a store failure at now, such as a read that failed.
-func (t *LifetimeTracker) RecordStoreFailure(now time.Time) { t.lastFailure = now }
+func (t *LifetimeTracker) RecordStoreFailure(now time.Time) {
+	t.lastFailure = later(t.lastFailure, now)
+}
+
+// RecordRead records at now the result of a read of the store by any instance, which began
+// at began. A long time without a read is a store failure that lasted until now, even if
+// only other instances tried to read.
+func (t *LifetimeTracker) RecordRead(began, now time.Time) {
+	if !t.lastRead.IsZero() && now.Sub(t.lastRead) > minOutage {
+		t.RecordStoreFailure(now)
+	}
+	t.lastRead = later(t.lastRead, began)
+}
 
 // ApplyContents applies the contents of the directory as of now, and then does what
 // Tick does.
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -13,12 +13,6 @@
 	"carawaycart/platform"
 )
 
-// maxReadGap is the time between two reads of the store above which a store failure
-// is assumed. An entry that is absent after a failure may only have lapsed, so that
-// its lifetime does not count as ended immediately. Reads of a fleet are normally less
-// than a second apart.
-const maxReadGap = 2500 * time.Millisecond
-
 // maxRevisionAdvance is the largest difference between the view's revision and that of
 // an update or snapshot that is believed. A revision that was damaged would otherwise make
 // the view take every later read for an old one.
@@ -159,9 +153,7 @@
 // peer that sent the read, or "store". v.mu must be held.
 func (v *View) recordRead(began time.Time, source string, changed bool) {
 	now := v.clock.Now()
-	if began.Sub(v.lastReadAt) > maxReadGap && !v.lastReadAt.IsZero() {
-		v.recordStoreFailure(now)
-	}
+	v.tracker.RecordRead(began, now)
 	if began.After(v.lastReadAt) {
 		v.lastReadAt = began
 		v.failedReads.RecordRead()
@@ -207,8 +199,7 @@
 		Text("source", source).Millis("ageMs", now.Sub(v.lastReadAt)).End()
 }
 
-// RecordStoreFailure records that the store failed to answer, or had not been read
-// for maxReadGap, at when.
+// RecordStoreFailure records that the store failed to answer at when.
 func (v *View) RecordStoreFailure(when time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- /dev/null
+++ b/internal/edge/view_test.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"carawaycart"
+	"carawaycart/core/directory"
+	"carawaycart/core/steer"
+	"carawaycart/platform"
+)
+
+// manualClock is a clock that moves only when a test sets it.
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
+
+const (
+	testConfig = `{"version":1,"routes":[{"name":"feed","host":"198.18.0.1","prefix":"/8443/","service":"desk","type":"safe"}],` +
+		`"services":[{"name":"desk","health_path":"/health","max_conns":10,"cold_per_s":4}],"limits":{"idle_timeout_ms":30000}}`
+	testEntry = `{"service":"desk","address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready","cold_left_ms":0,"born":5}`
+)
+
+// viewFixture is a view, with its router, that has read the store at revision 10, which
+// lists the endpoint i-1.
+type viewFixture struct {
+	*View
+	clock *manualClock
+	began time.Time
+	token carawaycart.Token
+	flows uint16 // number of flows that request has used
+}
+
+func newViewFixture(t *testing.T) *viewFixture {
+	t.Helper()
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	counters := NewCounters()
+	r := steer.NewRouter("a", rand.NewPCG(1, 1), &observer{counters: counters, prober: NewProber(clock, counters, nil)})
+	f := &viewFixture{View: NewView("self", steer.ColdLimits{}, r, clock, nil), clock: clock, began: clock.now}
+	f.read(0, 10, testItem("servers/i-1", 9, testEntry))
+	f.token = r.Table().Token(carawaycart.LifetimeKey{ID: "i-1", StartedAt: 5})
+	if got := f.request(); got.Verdict != carawaycart.VerdictForward {
+		t.Fatalf("got verdict %d for %s, want the flow forwarded at first", got.Verdict, got.Cause)
+	}
+	return f
+}
+
+func testItem(key string, revision carawaycart.StoreRevision, value string) carawaycart.StoreItem {
+	return carawaycart.StoreItem{Key: key, Revision: revision, Value: []byte(value)}
+}
+
+// at sets the clock to d after the fixture's first read and returns the time.
+func (f *viewFixture) at(d time.Duration) time.Time {
+	f.clock.now = f.began.Add(d)
+	return f.clock.now
+}
+
+// read applies a read of the store that begins and ends at d and returns the
+// configuration and items.
+func (f *viewFixture) read(d time.Duration, revision carawaycart.StoreRevision, items ...carawaycart.StoreItem) {
+	now := f.at(d)
+	f.ApplyRead(platform.RangeResult{Revision: revision, Items: append(items, testItem("op/config", 5, testConfig))}, now)
+}
+
+// request returns the decision for a request on an open flow at i-1, a different flow for
+// each call.
+func (f *viewFixture) request() carawaycart.Decision {
+	f.flows++
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), 40000+f.flows)
+	return f.router.Decide(&carawaycart.Packet{
+		Key: carawaycart.FlowKey{
+			Caller: caller, Service: netip.MustParseAddrPort("198.18.0.1:8443"), Protocol: carawaycart.TCP,
+		},
+		Sequence: 1001, Acknowledged: 500, PayloadBytes: 200, Token: f.token,
+	}, f.clock.now)
+}
+
+// wantNoReset fails the test if the open flow at i-1 is reset.
+func (f *viewFixture) wantNoReset(t *testing.T, when string) {
+	t.Helper()
+	if got := f.request(); got.Verdict == carawaycart.VerdictReset {
+		t.Errorf("got the open flow reset for %s %s", got.Cause, when)
+	}
+}
+
+// The store is down from 0.1 to 2.1 s, and an entry that expired meanwhile returns 1.8 s
+// later. Guards against resetting flows because the instance that reads first is one whose
+// own reads did not fail.
+func TestOutageNoticedByPeersEndsNoLifetime(t *testing.T) {
+	removal := directory.Delta{From: 10, To: 11, RemovedKeys: []string{"servers/i-1"}}
+	for _, test := range []struct {
+		name string
+		read func(*viewFixture)
+	}{
+		{"own read", func(f *viewFixture) { f.read(2200*time.Millisecond, 11) }},
+		{"update of a peer", func(f *viewFixture) { f.ApplyUpdate(removal, "n1", f.at(2200*time.Millisecond)) }},
+		{"read that began during the outage", func(f *viewFixture) {
+			f.at(2200 * time.Millisecond)
+			f.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{testItem("op/config", 5, testConfig)}}, f.began.Add(1300*time.Millisecond))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newViewFixture(t)
+			f.RecordFailedRead("n1", f.at(600*time.Millisecond))
+			f.RecordFailedRead("n2", f.at(1200*time.Millisecond))
+			test.read(f)
+			f.wantNoReset(t, "by the first read after the outage")
+			f.read(2800*time.Millisecond, 12)
+			f.wantNoReset(t, "0.7 s after the outage")
+			f.read(4*time.Second, 13, testItem("servers/i-1", 13, testEntry))
+			if got := f.request(); got.Verdict != carawaycart.VerdictForward {
+				t.Errorf("got verdict %d for %s after the entry returned, want the packet forwarded", got.Verdict, got.Cause)
+			}
+			// Later, the same absence is an end.
+			for n := range 20 {
+				f.read(time.Duration(4600+600*n)*time.Millisecond, carawaycart.StoreRevision(14+n))
+			}
+			if got := f.request(); got.Cause != carawaycart.CauseEnded {
+				t.Errorf("got verdict %d for %s of an endpoint that stays gone, want a reset", got.Verdict, got.Cause)
+			}
+		})
+	}
+}
+
+// The store turns some instances away while others read on. Guards against waiting for
+// the return of endpoints that are gone.
+func TestReadsThatFailForSomeDoNotDelayTheEnd(t *testing.T) {
+	f := newViewFixture(t)
+	for n := range 4 {
+		f.RecordFailedRead("n1", f.at(time.Duration(300+600*n)*time.Millisecond))
+		f.read(time.Duration(600+600*n)*time.Millisecond, 10, testItem("servers/i-1", 9, testEntry))
+	}
+	f.read(3*time.Second, 11)
+	if got := f.request(); got.Cause != carawaycart.CauseEnded {
+		t.Errorf("got verdict %d for %s, want a reset", got.Verdict, got.Cause)
+	}
+}
+
+// The store fails a second time before an expired entry has returned, and again only peers
+// notice. Guards against a grace period that passes while the store is down.
+func TestLapsedLifetimeOutlastsSecondOutage(t *testing.T) {
+	f := newViewFixture(t)
+	f.RecordStoreFailure(f.at(1500 * time.Millisecond))
+	f.read(2200*time.Millisecond, 11)
+	f.read(2500*time.Millisecond, 11)
+	f.RecordFailedRead("n1", f.at(3100*time.Millisecond))
+	f.RecordFailedRead("n2", f.at(3900*time.Millisecond))
+	f.read(4800*time.Millisecond, 12)
+	f.wantNoReset(t, "by the first read after the second outage")
+}
