End lapsed lifetimes only by a read that still misses them

Callers may see an open flow reset although the entry of its endpoint is back in the store: a lapsed lifetime ended when the grace period had passed by the clock, at whatever moment the table was rebuilt, even if nobody had read the store since. A list of ended lifetimes from a peer, new settings or the answer to a read that began earlier are enough.

Now the deadline is compared with the start of the last known read. The end comes at most one period of reads later.

TestLapsedLifetimeEndsOnlyByRead failed before in all three cases ("got the open flow reset for ended without a read after the grace period") and passes.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -149,11 +149,16 @@
 
 // Tick ends lapsed lifetimes and removes ended ones whose deadlines have passed.
 // No lapsed lifetime ends within lapsedGrace after a store failure, since its
-// entry cannot reappear while the store fails.
+// entry cannot reappear while the store fails, nor before a read that began after its
+// deadline.
 func (t *LifetimeTracker) Tick(now time.Time) {
+	readAt := now
+	if !t.lastRead.IsZero() {
+		readAt = t.lastRead
+	}
 	for key, s := range t.lifetimes {
 		switch {
-		case s.Presence == Lapsed && !now.Before(later(s.Deadline, t.lastFailure.Add(lapsedGrace))):
+		case s.Presence == Lapsed && !readAt.Before(later(s.Deadline, t.lastFailure.Add(lapsedGrace))):
 			t.markEnded(s, now)
 		case s.Presence == Ended && !now.Before(s.Deadline):
 			delete(t.lifetimes, key)
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -150,3 +150,29 @@
 	f.read(4800*time.Millisecond, 12)
 	f.wantNoReset(t, "by the first read after the second outage")
 }
+
+// The grace period of a lapsed lifetime passes while nobody reads the store, and the table
+// is rebuilt for another reason. Guards against ending the lifetime without a read that
+// still misses its entry.
+func TestLapsedLifetimeEndsOnlyByRead(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		rebuild func(*viewFixture)
+	}{
+		{"ended lifetime of a peer", func(f *viewFixture) { f.RecordEnded([]carawaycart.LifetimeKey{{ID: "i-9", StartedAt: 5}}, "n1") }},
+		{"new settings", func(f *viewFixture) { f.SetLimits(steer.ColdLimits{ColdSlack: 1}) }},
+		{"read that began before", func(f *viewFixture) {
+			f.ApplyRead(platform.RangeResult{Revision: 12, Items: []carawaycart.StoreItem{testItem("op/config", 5, testConfig)}}, f.began.Add(3900*time.Millisecond))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newViewFixture(t)
+			f.RecordStoreFailure(f.at(1500 * time.Millisecond))
+			f.read(2200*time.Millisecond, 11)
+			f.wantNoReset(t, "by the first read after the outage")
+			f.at(4800 * time.Millisecond)
+			test.rebuild(f)
+			f.wantNoReset(t, "without a read after the grace period")
+		})
+	}
+}
