Take no probe for failed that the instance was too busy to judge

Callers may see an open flow reset (cause=silent) by an instance whose own processor stood still for a moment, as when its share of a core is used up or it has much to do: the timeouts of two probes are noticed late and before the answers that have arrived meanwhile.

Now a probe that ends more than 50 ms after its timeout is repeated like one while the own link is full. A refused connection remains evidence.

TestProbeThatWasLateIsNoEvidence failed before ("got the endpoint silent from probes whose timeouts were noticed a second late") and passes.

--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -19,6 +19,10 @@
 	// regions takes up to 45 ms.
 	probeTimeout = 150 * time.Millisecond
 
+	// maxProbeLateness is the time after the timeout of a probe beyond which the instance
+	// itself was too busy to notice an answer.
+	maxProbeLateness = 50 * time.Millisecond
+
 	// initialProbePeriod is the time between the first two probes. The period
 	// doubles up to maxProbePeriod.
 	initialProbePeriod = 50 * time.Millisecond
@@ -90,8 +94,9 @@
 			loaded := p.loading()
 			alive := p.probeOnce("http://"+address+p.router.Table().HealthPath(service), id)
 			recovered := p.nextRecovery()
-			if !alive && (loaded || p.loading()) && p.wait(initialProbePeriod, nil) {
-				continue // the own link may be full, which is no evidence against the endpoint
+			late := p.clock.Now().Sub(began) > probeTimeout+maxProbeLateness
+			if !alive && (late || loaded || p.loading()) && p.wait(initialProbePeriod, nil) {
+				continue // the own processor or link may be busy, which is no evidence against the endpoint
 			}
 			result := p.router.RecordProbe(key, alive, began, p.clock.Now())
 			switch {
--- a/internal/edge/prober_test.go
+++ b/internal/edge/prober_test.go
@@ -80,3 +80,44 @@
 		}
 	}
 }
+
+// lateClock is a monotonic clock with an offset that tests advance.
+type lateClock struct {
+	carawaycart.MonotonicClock
+	offset atomic.Int64
+}
+
+func (c *lateClock) Now() time.Time {
+	return c.MonotonicClock.Now().Add(time.Duration(c.offset.Load()))
+}
+
+// roundTripper is a function that implements http.RoundTripper.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// The processor of the instance stands still while probes wait, so that their timeouts are
+// noticed a second late and before answers that have arrived. Guards against taking the
+// endpoint for silent.
+func TestProbeThatWasLateIsNoEvidence(t *testing.T) {
+	d, _, prober := newTestInstance(t)
+	clock := &lateClock{}
+	prober.clock = clock
+	var probes atomic.Int32
+	prober.client.Transport = roundTripper(func(r *http.Request) (*http.Response, error) {
+		<-r.Context().Done()
+		clock.offset.Add(int64(time.Second))
+		probes.Add(1)
+		return nil, r.Context().Err()
+	})
+	endpoint := d.router.Endpoints(clock.Now())[0].Lifetime
+	prober.Probe(&endpoint)
+	for end := time.Now().Add(5 * time.Second); probes.Load() < 3; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got %d probes in 5 s, want 3", probes.Load())
+		}
+		if d.router.Endpoints(clock.Now())[0].Silent {
+			t.Fatal("got the endpoint silent from probes whose timeouts were noticed a second late")
+		}
+	}
+}
