Tell a starting instance of the last failure of the store

Callers may see open flows reset by, and soon by everyone after, an instance that started during or shortly after an outage of the store: entries that have expired and not returned yet, or that are about to expire, are missing in its first read, and it had heard of no failure. Its update then tells its peers that the entries are gone.

TestSnapshotTellsOfStoreFailure failed before (presence "ended" instead of "lapsed") and passes.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -71,6 +71,9 @@
 	t.lastFailure = later(t.lastFailure, now)
 }
 
+// LastFailure returns when the last known failure of the store was, or zero.
+func (t *LifetimeTracker) LastFailure() time.Time { return t.lastFailure }
+
 // RecordRead records at now the result of a read of the store by any instance, which began
 // at began. A long time without a read is a store failure that lasted until now, even if
 // only other instances tried to read.
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -117,15 +117,29 @@
 		AgeMs: uint32(max(now.Sub(began), 0).Milliseconds()),
 		Items: message.FromItems(delta.Items), Missing: delta.RemovedKeys,
 	}
-	if !failure.IsZero() {
-		update.TroubleMs = uint32(max(now.Sub(failure), 0).Milliseconds()) + 1
-	}
+	update.TroubleMs = troubleMs(failure, now)
 	if proto.Size(update) > maxUpdateBytes {
 		update.Items, update.Missing, update.Partial = nil, nil, true
 	}
 	return update
 }
 
+// troubleMs returns the time from failure, a failure of the store, to now in the form of
+// messages, which is zero if there was none.
+func troubleMs(failure, now time.Time) uint32 {
+	if failure.IsZero() {
+		return 0
+	}
+	return uint32(max(now.Sub(failure), 0).Milliseconds()) + 1
+}
+
+// recordTrouble records in the view a failure of the store that a message states, if any.
+func (d *Disseminator) recordTrouble(ms uint32, now time.Time) {
+	if ms > 0 {
+		d.view.RecordStoreFailure(now.Add(-time.Duration(ms-1) * time.Millisecond))
+	}
+}
+
 // send sends update to the given instances. It logs errors and continues with the
 // next instance.
 func (d *Disseminator) send(update *message.DirectoryNews, to []carawaycart.Registration) {
@@ -254,9 +268,7 @@
 		return
 	}
 	began := now.Add(-time.Duration(update.GetAgeMs()) * time.Millisecond)
-	if update.GetTroubleMs() > 0 {
-		d.view.RecordStoreFailure(now.Add(-time.Duration(update.GetTroubleMs()-1) * time.Millisecond))
-	}
+	d.recordTrouble(update.GetTroubleMs(), now)
 	before := d.view.State()
 	delta := message.ToDelta(update)
 	if update.GetPartial() && delta.To > before.Revision || !d.view.ApplyUpdate(delta, update.GetFrom(), began) {
@@ -351,6 +363,7 @@
 	if err == nil {
 		var snapshot directory.Snapshot
 		if snapshot, err = message.ToSnapshot(reply); err == nil && snapshot.Revision > 0 {
+			d.recordTrouble(reply.GetTroubleMs(), began)
 			if d.view.ApplySnapshot(snapshot, name, began.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond)) {
 				return true
 			}
@@ -428,5 +441,6 @@
 	age := max(now.Sub(c.readAt), 0)
 	return &message.DirectoryCopy{
 		AtRevision: c.reply.GetAtRevision(), AgeMs: uint32(age.Milliseconds()), CompressedBody: c.reply.GetCompressedBody(),
+		TroubleMs: troubleMs(view.State().LastFailure, now),
 	}, nil
 }
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"carawaycart"
+	"carawaycart/core/directory"
 	"carawaycart/core/steer"
 	"carawaycart/io/peer"
 	"carawaycart/message"
@@ -233,3 +234,30 @@
 		t.Errorf("got revision %d, want 14", got)
 	}
 }
+
+// An instance starts while entries that expired in an outage of the store have not
+// returned, or are about to expire. Guards against a snapshot that does not tell it of the
+// outage, so that it takes the first absence for an end.
+func TestSnapshotTellsOfStoreFailure(t *testing.T) {
+	seed, seedView := newTestDisseminator(t)
+	started, view := newTestDisseminator(t)
+	seedView.RecordStoreFailure(seed.clock.Now())
+	seedView.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{seedItem(t, seedView, "servers/i-1"), {Key: "x", Revision: 11}}}, seed.clock.Now())
+	if !started.Fetch(t.Context(), serveDirectory(t, seed), "seed") {
+		t.Fatal("got no snapshot from the seed")
+	}
+	view.ApplyRead(platform.RangeResult{Revision: 12}, started.clock.Now())
+	if got := view.router.Endpoints(started.clock.Now()); len(got) != 1 || got[0].Presence != directory.Lapsed {
+		t.Errorf("got %+v after an outage that the seed knew of, want one lapsed lifetime", got)
+	}
+}
+
+// seedItem returns the item at key in v.
+func seedItem(t *testing.T, v *View, key string) carawaycart.StoreItem {
+	t.Helper()
+	item, ok := v.directory.Item(key)
+	if !ok {
+		t.Fatalf("got no item %s", key)
+	}
+	return item
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -65,7 +65,8 @@
 type State struct {
 	Revision     carawaycart.StoreRevision  // revision up to which the view is complete
 	LastReadAt   time.Time                  // start of the last known read of the store; zero if none
-	StoreFailure time.Time                  // last known store failure; zero if none
+	StoreFailure time.Time                  // last known store failure that was not only a gap between reads; zero if none
+	LastFailure  time.Time                  // last known store failure of any kind; zero if none
 	FailedReads  directory.FailedReads      // failed reads by this instance and its peers
 	ItemsRefused int                        // items received so far that could not be decoded
 	Instances    []carawaycart.Registration // instances listed in the store
@@ -77,7 +78,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return State{
-		Revision: v.directory.Revision(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure,
+		Revision: v.directory.Revision(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure, LastFailure: v.tracker.LastFailure(),
 		FailedReads: v.failedReads.Clone(), ItemsRefused: v.directory.DecodeFailures(), Instances: v.contents.Instances, Renewed: v.renewed,
 	}
 }
