Do not end an endpoint whose entry another writer has replaced

Callers may see open flows reset after another writer has put the name of an unknown service into the entry of a living endpoint: entries of services that the configuration does not name were left out like missing ones, and a missing entry ends the lifetime. The platform says that such an entry names no endpoint to use, not that the one before has ended.

Now such a lifetime counts as lapsed and as draining: it keeps its flows and gets no new ones, until its entry is written again or leaves.

TestEntryOfUnknownServiceEndsNoLifetime failed before ("got the open flow reset for ended after its entry was overwritten") and passes.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -274,6 +274,9 @@
 	Lifetimes []*carawaycart.Lifetime
 	Revisions map[carawaycart.LifetimeKey]carawaycart.StoreRevision // revisions of the lifetimes' items
 	Instances []carawaycart.Registration
+
+	// Unconfigured holds the endpoints whose entries name services that Config does not.
+	Unconfigured map[carawaycart.EndpointID]bool
 }
 
 // Contents returns all items in decoded form. If there is a configuration,
@@ -326,8 +329,8 @@
 	return all
 }
 
-// dropUnconfigured removes the lifetimes of services that the configuration does
-// not name. Without a configuration it removes none.
+// dropUnconfigured moves the lifetimes of services that the configuration does
+// not name to Unconfigured. Without a configuration it removes none.
 func (c *Contents) dropUnconfigured() {
 	if c.Config == nil {
 		return
@@ -336,5 +339,11 @@
 	for i := range c.Config.Services {
 		configured[c.Config.Services[i].ID] = true
 	}
-	c.Lifetimes = slices.DeleteFunc(c.Lifetimes, func(l *carawaycart.Lifetime) bool { return !configured[l.Service] })
+	c.Unconfigured = make(map[carawaycart.EndpointID]bool)
+	c.Lifetimes = slices.DeleteFunc(c.Lifetimes, func(l *carawaycart.Lifetime) bool {
+		if !configured[l.Service] {
+			c.Unconfigured[l.ID] = true
+		}
+		return !configured[l.Service]
+	})
 }
--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -50,7 +50,7 @@
 	// no meaning for a present one.
 	Deadline time.Time
 
-	contested bool // whether its entry is listed while a newer one has its address
+	contested bool // whether its entry, or that of its address, seems to be that of another writer
 }
 
 // LifetimeTracker tracks the presence of lifetimes across successive contents of a
@@ -103,6 +103,11 @@
 			// entry is wrong.
 			s.Presence, s.Deadline = Lapsed, now.Add(endedRetention)
 		case listed && startedAt == key.StartedAt:
+		case c.Unconfigured[key.ID] && s.Presence == Present:
+			// Another writer has replaced the entry: the endpoint keeps its flows and gets no
+			// new ones.
+			s.Presence, s.Deadline, s.Lifetime.Draining = Lapsed, now.Add(endedRetention), true
+		case c.Unconfigured[key.ID]:
 		case reassigned:
 			t.markEnded(s, now) // the address is reassigned only after its previous owner has ended
 		case listed:
@@ -110,7 +115,7 @@
 		case s.Presence == Present || s.contested:
 			t.handleAbsent(s, now)
 		}
-		s.contested = listed && startedAt == key.StartedAt && reassigned
+		s.contested = listed && startedAt == key.StartedAt && reassigned || c.Unconfigured[key.ID]
 	}
 	t.Tick(now)
 }
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -176,3 +176,11 @@
 		})
 	}
 }
+
+// Another writer overwrites the entry of a living endpoint with one of a service that no
+// configuration names. Guards against resetting the flows of the endpoint.
+func TestEntryOfUnknownServiceEndsNoLifetime(t *testing.T) {
+	f := newViewFixture(t)
+	f.read(600*time.Millisecond, 11, testItem("servers/i-1", 11, `{"service":"elsewhere","address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready","cold_left_ms":0,"born":5}`))
+	f.wantNoReset(t, "after its entry was overwritten")
+}
