Do not end a lifetime because its entry names an earlier start

Callers may see all open flows of an endpoint reset after it has restarted under its ID, when a late write, another writer or a store that is restored from a copy puts an earlier start, or none, into its entry: any other start was taken for a restart, although only a later one can be.

If the entry stays, the lifetime that it names is present again.

TestOlderStartDoesNotEndNewerLifetime failed before (presence "ended" for "older start" and "no start") and passes. Its checks of the earlier lifetime came with this change.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -110,16 +110,36 @@
 		case c.Unconfigured[key.ID]:
 		case reassigned:
 			t.markEnded(s, now) // the address is reassigned only after its previous owner has ended
-		case listed:
+		case listed && startedAt > key.StartedAt:
 			t.markEnded(s, now) // the endpoint has restarted
+		case listed && s.Presence == Present:
+			// The entry is late or that of another writer. The endpoint writes its own again.
+			s.Presence, s.Deadline = Lapsed, now.Add(lapsedGrace)
+		case listed:
 		case s.Presence == Present || s.contested:
 			t.handleAbsent(s, now)
 		}
 		s.contested = listed && startedAt == key.StartedAt && reassigned || c.Unconfigured[key.ID]
 	}
+	t.endSuperseded(now)
 	t.Tick(now)
 }
 
+// endSuperseded ends the lifetimes whose endpoint has started again and runs.
+func (t *LifetimeTracker) endSuperseded(now time.Time) {
+	newest := make(map[carawaycart.EndpointID]carawaycart.UnixMillis, len(t.lifetimes))
+	for key, s := range t.lifetimes {
+		if s.Presence != Ended {
+			newest[key.ID] = max(newest[key.ID], key.StartedAt)
+		}
+	}
+	for key, s := range t.lifetimes {
+		if key.StartedAt < newest[key.ID] {
+			t.markEnded(s, now)
+		}
+	}
+}
+
 // markPresent marks l, which was read from an item with the given revision, as present.
 func (t *LifetimeTracker) markPresent(l *carawaycart.Lifetime, revision carawaycart.StoreRevision, now time.Time) {
 	s := t.lifetimes[l.Key()]
--- a/core/directory/lifetime_tracker_test.go
+++ b/core/directory/lifetime_tracker_test.go
@@ -162,3 +162,29 @@
 		t.Error("got lifetimes reported as new that were already tracked")
 	}
 }
+
+// An endpoint has restarted under its ID, and a late or foreign write puts an older start
+// back into its entry. Guards against ending the lifetime that runs, against flows to the
+// one before, and against waiting for ever for an entry that does not return.
+func TestOlderStartDoesNotEndNewerLifetime(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		start int64
+	}{{"older start", 5}, {"no start", 0}} {
+		tracker := directory.NewLifetimeTracker()
+		tracker.ApplyContents(contents(lifetime("i-1", 7, "10.0.0.1:80")), start)
+		tracker.ApplyContents(contents(lifetime("i-1", test.start, "10.0.0.1:80")), start.Add(time.Second))
+		if got, ok := presence(tracker, "i-1", 7); !ok || got == directory.Ended {
+			t.Errorf("%s: got presence %d (tracked %t) of the newer lifetime, want it not ended", test.name, got, ok)
+		}
+		if got, _ := presence(tracker, "i-1", test.start); got != directory.Ended {
+			t.Errorf("%s: got presence %d of the older lifetime, want it ended", test.name, got)
+		}
+		for n := range 4 {
+			tracker.ApplyContents(contents(lifetime("i-1", test.start, "10.0.0.1:80")), start.Add(time.Duration(2+n)*time.Second))
+		}
+		if got, _ := presence(tracker, "i-1", test.start); got != directory.Present {
+			t.Errorf("%s: got presence %d of the lifetime that is listed for 4 s, want it present", test.name, got)
+		}
+	}
+}
