Let an endpoint whose address is claimed lapse in an outage of the store

Callers may see open flows reset when another writer's entry claims the address of a living endpoint and the endpoint's own entry then expires in an outage: with its entry gone, the claim counted as a reassignment, which ends a lifetime without the grace period in which entries return.

Now a lifetime that was contested goes through the same grace as any other that is missing, and a lapsed one is not ended by a claim either. Without a failure of the store both still end at once.

TestClaimedAddressDoesNotEndLapsedLifetime failed before (presence "ended") and passes.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -108,7 +108,9 @@
 			// new ones.
 			s.Presence, s.Deadline, s.Lifetime.Draining = Lapsed, now.Add(endedRetention), true
 		case c.Unconfigured[key.ID]:
-		case reassigned:
+		case reassigned && s.contested:
+			t.handleAbsent(s, now)
+		case reassigned && s.Presence != Lapsed:
 			t.markEnded(s, now) // the address is reassigned only after its previous owner has ended
 		case listed && startedAt > key.StartedAt:
 			t.markEnded(s, now) // the endpoint has restarted
--- a/core/directory/lifetime_tracker_test.go
+++ b/core/directory/lifetime_tracker_test.go
@@ -188,3 +188,18 @@
 		}
 	}
 }
+
+// An entry of another writer claims the address of an endpoint, whose own entry then
+// expires in an outage of the store. Guards against ending the lifetime without the grace
+// period in which the entry returns.
+func TestClaimedAddressDoesNotEndLapsedLifetime(t *testing.T) {
+	one, claim := lifetime("i-1", 1, "10.0.0.1:80"), lifetime("i-9", 7, "10.0.0.1:80")
+	tracker := directory.NewLifetimeTracker()
+	tracker.ApplyContents(contents(one), start)
+	tracker.ApplyContents(contents(one, claim), start.Add(time.Second))
+	tracker.RecordStoreFailure(start.Add(2 * time.Second))
+	tracker.ApplyContents(contents(claim), start.Add(3*time.Second))
+	if got, ok := presence(tracker, "i-1", 1); !ok || got == directory.Ended {
+		t.Errorf("got presence %d (tracked %t) 1 s after the store failed, want it not ended", got, ok)
+	}
+}
