Do not count failed probes of long ago together with a new one

Callers may see an open flow reset after a single lost probe, long after a cut: when the lifetime of a silent endpoint ended and returned, its silence no longer held, but the failed probes that it came from still counted, so that one more made the endpoint silent again and its waiting flows were reset.

TestReturnedEndpointIsNotSilentAfterOneLostProbe and TestFailedProbeBeforeReturnIsNotCounted failed before and pass.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -203,6 +203,7 @@
 	case s.answeredAt.After(began):
 		s.failedProbes = 0
 	default:
+		s.forgetOutdated(now)
 		s.failedProbes++
 		s.probeFailedAt = now
 		changed = !s.silent && s.failedProbes >= failedProbesBeforeSilent
@@ -228,6 +229,15 @@
 	return true
 }
 
+// forgetOutdated forgets failed probes, here and at peers, that are too old at now to count
+// together with one that has just failed. s.mu must be held.
+func (s *state) forgetOutdated(now time.Time) {
+	const retention = MaxProbePeriod + SilenceSlack
+	if now.Sub(s.probeFailedAt) > retention && now.Sub(s.silenceReportedAt) > retention {
+		s.failedProbes, s.silent = 0, false
+	}
+}
+
 // reportedSilent reports whether a peer has found the endpoint silent within
 // silenceReportPeriod before now.
 func (s *state) reportedSilent(now time.Time) bool {
--- /dev/null
+++ b/core/steer/stale_evidence_test.go
@@ -0,0 +1,45 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"carawaycart"
+)
+
+// An endpoint whose entry returned was silent long ago. Guards against resetting its open
+// flows because one probe is lost by chance.
+func TestReturnedEndpointIsNotSilentAfterOneLostProbe(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	makeSilent(t, f, 0, d.Endpoint, start.Add(time.Second))
+	l := f.endpoint(d.Endpoint)
+	f.remove(d.Endpoint)
+	f.update(start.Add(4 * time.Second))
+	f.contents.Lifetimes = append(f.contents.Lifetimes, l)
+	now := start.Add(20 * time.Second)
+	f.update(now)
+	r.RecordProbe(l.Key(), false, now, now.Add(150*time.Millisecond))
+	if got := r.Decide(request(1, feed, d.Token), now.Add(200*time.Millisecond)); got.Verdict != carawaycart.VerdictForward {
+		t.Errorf("got verdict %d for %s after one failed probe, want the open flow to continue", got.Verdict, got.Cause)
+	}
+}
+
+// A probe failed shortly before the lifetime ended, so that no other followed. Guards
+// against counting it together with one that is lost after the lifetime returned.
+func TestFailedProbeBeforeReturnIsNotCounted(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	l := f.endpoint("i-01")
+	r.RecordProbe(l.Key(), false, start.Add(time.Second), start.Add(1150*time.Millisecond))
+	f.remove("i-01")
+	f.update(start.Add(1200 * time.Millisecond))
+	f.contents.Lifetimes = append(f.contents.Lifetimes, l)
+	now := start.Add(20 * time.Second)
+	f.update(now)
+	if got := r.RecordProbe(l.Key(), false, now, now.Add(150*time.Millisecond)); got.Silent {
+		t.Error("got the endpoint silent after one failed probe and one of 19 s ago, want another probe first")
+	}
+}
