Ask an endpoint whose entry is missing before its flows are reset

Cause: a missing entry was taken for the end of the endpoint, without any evidence of the endpoint itself, and nothing but the return of the entry could lift that; probes of ended lifetimes were ignored, also those that were answered.

A later start under its ID or a new owner of its address still end it at once.

TestFlowOfEndpointMissingFromStoreIsNotReset failed before.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -15,7 +15,7 @@
 const (
 	Present Presence = iota // its entry is in the store
 	Lapsed                  // its entry disappeared, or another has its address, but the endpoint may still be running
-	Ended                   // the endpoint has stopped, started again or lost its address
+	Ended                   // the endpoint has stopped, started again or lost its address, as far as the store tells
 )
 
 const (
@@ -50,6 +50,10 @@
 	// no meaning for a present one.
 	Deadline time.Time
 
+	// Absent tells of an ended lifetime that nothing speaks against it but that its entry
+	// is missing: its endpoint may still run.
+	Absent bool
+
 	contested bool // whether its entry, or that of its address, seems to be that of another writer
 }
 
@@ -111,9 +115,9 @@
 		case reassigned && s.contested:
 			t.handleAbsent(s, now)
 		case reassigned && s.Presence != Lapsed:
-			t.markEnded(s, now) // the address is reassigned only after its previous owner has ended
+			t.markEnded(s, false, now) // the address is reassigned only after its previous owner has ended
 		case listed && startedAt > key.StartedAt:
-			t.markEnded(s, now) // the endpoint has restarted
+			t.markEnded(s, false, now) // the endpoint has restarted
 		case listed && s.Presence == Present:
 			// The entry is late or that of another writer. The endpoint writes its own again.
 			s.Presence, s.Deadline = Lapsed, now.Add(lapsedGrace)
@@ -137,7 +141,7 @@
 	}
 	for key, s := range t.lifetimes {
 		if key.StartedAt < newest[key.ID] {
-			t.markEnded(s, now)
+			t.markEnded(s, false, now)
 		}
 	}
 }
@@ -155,26 +159,27 @@
 		s.ColdUntil = now.Add(l.ColdRemaining)
 		s.Revision = revision
 	}
-	s.Lifetime, s.Presence = *l, Present
+	s.Lifetime, s.Presence, s.Absent = *l, Present, false
 }
 
 // handleAbsent marks a lifetime whose entry has just disappeared as lapsed if
 // the store failed within the last failureWindow, and as ended otherwise.
 func (t *LifetimeTracker) handleAbsent(s *TrackedLifetime, now time.Time) {
 	if t.lastFailure.IsZero() || now.Sub(t.lastFailure) > failureWindow {
-		t.markEnded(s, now)
+		t.markEnded(s, true, now)
 		return
 	}
 	s.Presence, s.Deadline = Lapsed, now.Add(lapsedGrace)
 }
 
 // markEnded marks a lifetime as ended and starts its retention, unless it has
-// ended already.
-func (t *LifetimeTracker) markEnded(s *TrackedLifetime, now time.Time) {
+// ended already. The argument absent tells whether only its entry is missing.
+func (t *LifetimeTracker) markEnded(s *TrackedLifetime, absent bool, now time.Time) {
 	if s.Presence == Ended {
+		s.Absent = s.Absent && absent
 		return
 	}
-	s.Presence, s.Deadline = Ended, now.Add(endedRetention)
+	s.Presence, s.Absent, s.Deadline = Ended, absent, now.Add(endedRetention)
 }
 
 // Tick ends lapsed lifetimes and removes ended ones whose deadlines have passed.
@@ -189,7 +194,7 @@
 	for key, s := range t.lifetimes {
 		switch {
 		case s.Presence == Lapsed && !readAt.Before(later(s.Deadline, t.lastFailure.Add(lapsedGrace))):
-			t.markEnded(s, now)
+			t.markEnded(s, true, now)
 		case s.Presence == Ended && !now.Before(s.Deadline):
 			delete(t.lifetimes, key)
 		}
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -15,6 +15,7 @@
 	lifetime  carawaycart.Lifetime
 	token     carawaycart.Token
 	presence  directory.Presence
+	absent    bool                // see directory.TrackedLifetime
 	coldUntil time.Time           // end of the cold time; in the past if the endpoint is warm
 	coldShare placement.ColdShare // zero if the endpoint was warm when the table was built
 	// warmupUntil is the end of the warm-up after the cold time, during which other
@@ -34,7 +35,7 @@
 // the endpoint of the same lifetime in the preceding table, or nil, and returned tells
 // whether its zone was out in that table and no longer is.
 func newEndpoint(s *directory.TrackedLifetime, previous *endpoint, returned bool, now time.Time) *endpoint {
-	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, coldUntil: s.ColdUntil}
+	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, absent: s.Absent, coldUntil: s.ColdUntil}
 	if previous != nil {
 		e.state, e.zoneReturnColdUntil = previous.state, previous.zoneReturnColdUntil
 	} else {
@@ -265,6 +266,15 @@
 	return silent, s.silent && !silent
 }
 
+// isGone reports whether an endpoint whose entry is missing is silent at now, and whether it
+// has to be probed because it has lately answered neither a packet nor a probe.
+func (s *state) isGone(now time.Time) (gone, probe bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gone = s.isSilentLocked(now)
+	return gone, !gone && now.Sub(s.answeredAt) > MaxProbePeriod
+}
+
 // outdateSilence makes the silence of the endpoint, if any, outdated, and reports whether
 // the endpoint has to be probed.
 func (s *state) outdateSilence() bool {
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -17,6 +17,20 @@
 	return silent
 }
 
+// hasEnded reports whether e has ended at now, so that its flows are to be reset. An
+// endpoint whose entry is only missing may still run: it has ended once it is silent too.
+// The store may have lost the entry.
+func (r *Router) hasEnded(e *endpoint, now time.Time) bool {
+	if e.presence != directory.Ended || !e.absent {
+		return e.presence == directory.Ended
+	}
+	gone, probe := e.state.isGone(now)
+	if probe {
+		r.observer.ProbeRequested(&e.lifetime)
+	}
+	return gone
+}
+
 // ProbeResult is what follows from a probe of an endpoint.
 type ProbeResult struct {
 	Again     bool // whether the endpoint is to be probed again
@@ -26,19 +40,25 @@
 }
 
 // RecordProbe records at now the outcome of a probe that began at began; alive tells
-// whether it was answered. Probes of unknown or ended lifetimes are ignored.
+// whether it was answered. Probes of unknown or ended lifetimes are ignored, except of those
+// whose entries are only missing, which are probed until they are silent.
 func (r *Router) RecordProbe(key carawaycart.LifetimeKey, alive bool, began, now time.Time) ProbeResult {
 	t := r.table.Load()
-	if t == nil || t.byKey[key] == nil || t.byKey[key].presence == directory.Ended {
+	if t == nil || t.byKey[key] == nil {
 		return ProbeResult{}
 	}
 	e := t.byKey[key]
+	ended := e.presence == directory.Ended
+	if ended && !e.absent {
+		return ProbeResult{}
+	}
 	changed := e.state.recordProbe(alive, began, now)
 	if changed {
 		r.observer.SilenceChanged(e.lifetime.ID, !alive)
 	}
+	silent, _ := e.state.isSilent(now)
 	return ProbeResult{
-		Again: e.state.needsProbe(), Silent: changed && !alive, Recovered: changed && alive, Reported: e.state.reportedSilent(now),
+		Again: e.state.needsProbe() && (!ended || !silent), Silent: changed && !alive, Recovered: changed && alive, Reported: e.state.reportedSilent(now),
 	}
 }
 
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -140,7 +140,7 @@
 	switch {
 	case e == nil:
 		return r.refuse(p, carawaycart.CauseUnknownToken, false, t.Revision)
-	case e.presence == directory.Ended:
+	case r.hasEnded(e, now):
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
 	case route == nil:
 		return forward(e)
--- a/core/steer/stale_evidence_test.go
+++ b/core/steer/stale_evidence_test.go
@@ -43,3 +43,38 @@
 		t.Error("got the endpoint silent after one failed probe and one of 19 s ago, want another probe first")
 	}
 }
+
+// The store has lost the entry of an endpoint that runs, as one restored from a copy may.
+// Guards against resetting its open flows on that alone, against new flows to it, and
+// against waiting for one that is gone.
+func TestFlowOfEndpointMissingFromStoreIsNotReset(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	l := f.endpoint(d.Endpoint)
+	f.remove(d.Endpoint)
+	f.update(start.Add(time.Second))
+	f.events[0].probeRequests = nil
+	now := start.Add(3 * time.Second)
+	mustForward(t, r.Decide(request(1, feed, d.Token), now))
+	if got := f.events[0].probeRequests; len(got) != 1 {
+		t.Errorf("got probes of %v requested, want one of %s", got, d.Endpoint)
+	}
+	if got := r.RecordProbe(l.Key(), true, now, now.Add(2*time.Millisecond)); got.Again {
+		t.Error("got another probe of an endpoint that answers")
+	}
+	mustForward(t, r.Decide(request(1, feed, d.Token), now.Add(time.Second)))
+	for n := range 20 {
+		if got := r.Decide(first(10+n, feed), now.Add(time.Second)); got.Endpoint == d.Endpoint {
+			t.Fatal("got a new flow at an endpoint whose entry is missing")
+		}
+	}
+	now = now.Add(4 * time.Second)
+	for range 2 {
+		r.RecordProbe(l.Key(), false, now, now.Add(time.Millisecond))
+	}
+	if got := r.Decide(request(1, feed, d.Token), now.Add(time.Second)); got.Cause != carawaycart.CauseEnded {
+		t.Errorf("got verdict %d for %s after two failed probes, want a reset", got.Verdict, got.Cause)
+	}
+}
