Take a connection that is reset for a sign of life

Cause: an endpoint that is at its limit of connections accepts a probe's connection and resets it. If the instance sees the reset before the connect, as a busy one does, the error is "dial: connection reset by peer" and counted as a failed probe; otherwise it is "read: connection reset by peer" and counted as alive. Two lost races in a row made a full endpoint silent, and its open flows were reset (cause=silent), on evidence that says that somebody is there.

Now a reset during the dial counts as an answer. "probeUnanswered" is logged for each probe without one, with its error, which the log did not tell.

TestFullEndpointIsNotSilent failed before ("got silent true after 3 probes") and passes; its second half checks that refused connections still count.

--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -6,8 +6,11 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"carawaycart"
 	"carawaycart/core/steer"
 	"carawaycart/internal/eventlog"
@@ -153,8 +156,9 @@
 }
 
 // probeOnce reports whether endpoint id is alive at url. An endpoint that accepts
-// the connection is alive, even if it is too busy to answer in time. It is not alive
-// if the answer has the ID of another endpoint, which may have been given the address
+// the connection is alive, even if it is too busy to answer in time, or is full and resets
+// the connection, which may be seen before the connection counts as established. It is not
+// alive if the answer has the ID of another endpoint, which may have been given the address
 // since.
 func (p *Prober) probeOnce(url, id string) bool {
 	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
@@ -169,7 +173,8 @@
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		return connected.Load()
+		p.log.Event("probeUnanswered").Text("endpoint", id).Bool("connected", connected.Load()).Err(err).End()
+		return connected.Load() || errors.Is(err, syscall.ECONNRESET)
 	}
 	_ = response.Body.Close()
 	responder := response.Header.Get(platform.EndpointIDHeader)
--- a/internal/edge/prober_test.go
+++ b/internal/edge/prober_test.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -121,3 +124,30 @@
 		}
 	}
 }
+
+// An endpoint at its limit of connections resets the one of a probe before the instance has
+// seen that it was established. Guards against taking the endpoint for silent and resetting
+// its open flows; a refused connection remains evidence.
+func TestFullEndpointIsNotSilent(t *testing.T) {
+	for _, test := range []struct {
+		err    error
+		silent bool
+	}{{syscall.ECONNRESET, false}, {syscall.ECONNREFUSED, true}} {
+		d, _, prober := newTestInstance(t)
+		var probes atomic.Int32
+		prober.client.Transport = roundTripper(func(*http.Request) (*http.Response, error) {
+			probes.Add(1)
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", test.err)}
+		})
+		endpoint := d.router.Endpoints(d.clock.Now())[0].Lifetime
+		for n := int32(1); n <= 3; n++ {
+			prober.Probe(&endpoint)
+			for end := time.Now().Add(time.Second); probes.Load() < n && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		if got := d.router.Endpoints(d.clock.Now())[0].Silent; got != test.silent {
+			t.Errorf("%v: got silent %t after %d probes, want %t", test.err, got, probes.Load(), test.silent)
+		}
+	}
+}
