Judge open flows by unanswered data, not by refused connections

Callers may see open flows reset by an instance that finds their endpoint silent because it takes no more connections: an endpoint that is full drops first packets, and the connections of probes once its queue is full, while it serves its open flows.

Cause: one belief, silent, answered two questions. Whether an endpoint takes new flows follows from first packets and probes; whether its open flows are lost does not.

Now open flows are reset, at once or when an endpoint is found silent, only if data on an open flow of the endpoint was left unanswered too: sent again after 150 ms, or without an answer in the usual time. New flows avoid the endpoint as before. The first caller on an idle flow to a dark endpoint is reset when it sends again, after 200 ms.

TestEndpointWithoutRoomKeepsOpenFlows failed before and passes. TestSilentEndpointResetsOnlyRepeatableRequests asserted a reset from first packets and probes alone, the fault itself; it now sends its packet twice, with the same verdicts asked.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -113,14 +113,17 @@
 // state holds what an instance has observed of one lifetime of an endpoint. It is safe
 // for concurrent use.
 type state struct {
-	mu            sync.Mutex
-	opening       int       // number of first packets that may still be answered
-	waiting       int       // number of unanswered requests that were not abandoned
-	open          int       // number of tracked open flows, except those whose request was abandoned
-	timeouts      int       // number of timeouts of first packets or requests since the last answer
-	failedProbes  int       // number of probes that failed since the last answer
-	silent        bool      // whether the endpoint answered neither packets nor probes; see isSilent
-	probeFailedAt time.Time // when the last probe failed
+	mu           sync.Mutex
+	opening      int  // number of first packets that may still be answered
+	waiting      int  // number of unanswered requests that were not abandoned
+	open         int  // number of tracked open flows, except those whose request was abandoned
+	timeouts     int  // number of timeouts of first packets or requests since the last answer
+	failedProbes int  // number of probes that failed since the last answer
+	silent       bool // whether the endpoint answered neither packets nor probes; see isSilent
+	// dataUnanswered tells whether data on an open flow was left unanswered since the last
+	// answer. An endpoint may refuse connections because it is full and still serve its flows.
+	dataUnanswered bool
+	probeFailedAt  time.Time // when the last probe failed
 	// silenceReportedAt is when a peer last reported the endpoint as silent.
 	silenceReportedAt time.Time
 	avoidUntil        time.Time     // end of the avoidance after the last timeout; zero after an answer
@@ -164,10 +167,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recovered := s.timeouts > 0
-	s.timeouts, s.failedProbes, s.silent, s.avoidUntil, s.answeredAt = 0, 0, false, time.Time{}, now
+	s.clearLocked(now)
 	return recovered
 }
 
+// clearLocked records an answer at now, after which nothing speaks against the endpoint.
+// s.mu must be held.
+func (s *state) clearLocked(now time.Time) {
+	s.timeouts, s.failedProbes, s.silent, s.dataUnanswered, s.avoidUntil, s.answeredAt = 0, 0, false, false, time.Time{}, now
+}
+
+// recordUnansweredData records that data that was sent on an open flow at sent is
+// unanswered, unless the endpoint has answered anything since, and reports whether it did.
+func (s *state) recordUnansweredData(sent time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answeredAt.After(sent) {
+		return false
+	}
+	s.dataUnanswered = true
+	return true
+}
+
+// isDead reports whether the endpoint is silent at now and has left data on an open flow
+// unanswered too, so that its open flows are lost.
+func (s *state) isDead(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dataUnanswered && s.isSilentLocked(now)
+}
+
 // answeredSince reports whether the endpoint has answered anything after when.
 func (s *state) answeredSince(when time.Time) bool {
 	s.mu.Lock()
@@ -200,7 +229,7 @@
 	switch {
 	case alive:
 		changed = s.silent
-		s.timeouts, s.failedProbes, s.silent, s.avoidUntil, s.answeredAt = 0, 0, false, time.Time{}, now
+		s.clearLocked(now)
 	case s.answeredAt.After(began):
 		s.failedProbes = 0
 	default:
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -63,7 +63,8 @@
 }
 
 // TakeStranded returns a packet of each flow whose request waits for the endpoint with
-// the given key, which is silent at now, if the request may run more than once. It
+// the given key, which is silent at now and has left data on an open flow unanswered, if
+// the request may run more than once. It
 // removes the records of these flows, which are to be reset: a caller that waits for
 // its own timeout may have no time left to try again.
 func (r *Router) TakeStranded(key carawaycart.LifetimeKey, now time.Time) []carawaycart.Packet {
@@ -75,6 +76,16 @@
 	if silent, _ := e.state.isSilent(now); !silent {
 		return nil
 	}
+	r.flows.forEachShard(func(s *flowShard) {
+		for _, f := range s.flows {
+			if f.endpoint.state == e.state && f.waiting && !f.abandoned && now.Sub(f.requestedAt) > minResendInterval {
+				e.state.recordUnansweredData(f.requestedAt)
+			}
+		}
+	})
+	if !e.state.isDead(now) {
+		return nil
+	}
 	var stranded []carawaycart.Packet
 	r.flows.forEachShard(func(s *flowShard) {
 		for id, f := range s.flows {
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -120,9 +120,9 @@
 // Decide returns the decision for packet p at now. Without a routing configuration it
 // drops all packets. An instance with a newer configuration may have opened a flow on a
 // route that the table does not have yet, so open flows are reset only if their route was
-// removed. A flow that sends data to a silent endpoint is reset only if the requests of the
-// route may run more than once, since a reset does not tell the caller whether its request
-// was run.
+// removed. A flow that sends data to a silent endpoint is reset only if data on an open
+// flow was left unanswered too, and if the requests of the route may run more than once,
+// since a reset does not tell the caller whether its request was run.
 func (r *Router) Decide(p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	t := r.table.Load()
 	if !t.HasConfig() {
@@ -144,7 +144,7 @@
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
 	case route == nil:
 		return forward(e)
-	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now):
+	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now) && (e.state.isDead(now) || r.isResent(id, p, e, now)):
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
 	}
 	r.trackPacket(id, p, route, e, now)
@@ -444,10 +444,21 @@
 		return
 	}
 	if sentAt := f.lastSeen; now.Sub(sentAt) > minResendInterval {
+		e.state.recordUnansweredData(sentAt)
 		r.handleTimeout(e, "data", sentAt, now)
 	}
 }
 
+// isResent reports whether the data in p was sent before on the flow id and e has answered
+// nothing since.
+func (r *Router) isResent(id flowID, p *carawaycart.Packet, e *endpoint, now time.Time) bool {
+	s := r.flows.lockShard(id)
+	defer s.mu.Unlock()
+	f := s.flows[id]
+	return f != nil && f.phase == phaseOpen && f.endpoint.state == e.state && int32(p.Sequence-f.sequence) <= 0 &&
+		now.Sub(f.lastSeen) > minResendInterval && e.state.recordUnansweredData(f.lastSeen)
+}
+
 // handleAnswer records an answer of e at now and notifies the observer if a timeout
 // preceded it.
 func (r *Router) handleAnswer(e *endpoint, now time.Time) {
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -260,6 +260,7 @@
 		f := newFleet(1, 4)
 		d := mustForward(t, f.routers[0].Decide(first(1, test.service), start))
 		f.routers[0].Decide(acknowledgement(1, test.service, d.Token), start.Add(8*time.Millisecond))
+		f.routers[0].Decide(test.packet(1, test.service, d.Token), start.Add(time.Second))
 		makeSilent(t, f, 0, d.Endpoint, start.Add(time.Second))
 		now := start.Add(2 * time.Second)
 		if got := f.routers[0].Decide(test.packet(1, test.service, d.Token), now); got.Verdict != test.want {
--- a/core/steer/silence_test.go
+++ b/core/steer/silence_test.go
@@ -263,3 +263,27 @@
 		t.Error("got the endpoint silent after one lost probe, although it answered shortly before the report")
 	}
 }
+
+// An endpoint that has no room for more connections leaves first packets and probes
+// unanswered and serves its open flows. Guards against resetting these before data on one
+// of them was left unanswered too.
+func TestEndpointWithoutRoomKeepsOpenFlows(t *testing.T) {
+	f := newFleet(1, 3)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	makeSilent(t, f, 0, d.Endpoint, start.Add(time.Second))
+	now := start.Add(1500 * time.Millisecond)
+	if got := r.Decide(request(1, feed, d.Token), now); got.Verdict != carawaycart.VerdictForward {
+		t.Fatalf("got verdict %d for %s, want the request on the open flow forwarded", got.Verdict, got.Cause)
+	}
+	if got := r.TakeStranded(f.endpoint(d.Endpoint).Key(), now.Add(20*time.Millisecond)); len(got) != 0 {
+		t.Errorf("got %d flows reset 20 ms after the request, want none", len(got))
+	}
+	if got := r.Decide(first(2, feed), now); got.Endpoint == d.Endpoint {
+		t.Error("got a new flow at the endpoint")
+	}
+	if got := r.Decide(request(1, feed, d.Token), now.Add(200*time.Millisecond)); got.Cause != carawaycart.CauseSilent {
+		t.Errorf("got verdict %d for %s for data that was sent again, want a reset", got.Verdict, got.Cause)
+	}
+}
