--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 
@@ -14,13 +15,17 @@
 type entry struct {
 	item    carawaycart.StoreItem
 	decoded carawaycart.DecodedItem
+	// retained tells that the item holds a configuration which a restore of the store has
+	// removed or replaced by an older one.
+	retained bool
 }
 
 // Directory is a replica of the store's items; it is not safe for concurrent use.
 type Directory struct {
 	decode         Decoder
 	items          map[string]entry
-	revision       carawaycart.StoreRevision
+	position       Position
+	changes        int
 	decodeFailures int
 	refusals       []Refusal
 	removals       removalLog
@@ -41,9 +46,12 @@
 	return &Directory{decode: decode, items: make(map[string]entry)}
 }
 
-// Revision returns the revision up to which the directory is complete, or zero before
-// the first read or snapshot.
-func (d *Directory) Revision() carawaycart.StoreRevision { return d.revision }
+// Position returns the position up to which the directory is complete, or the zero value
+// before the first read or snapshot.
+func (d *Directory) Position() Position { return d.position }
+
+// Changes returns the number of changes of items made so far.
+func (d *Directory) Changes() int { return d.changes }
 
 // DecodeFailures returns the number of items received so far that could not be decoded.
 func (d *Directory) DecodeFailures() int { return d.decodeFailures }
@@ -56,9 +64,10 @@
 	return r
 }
 
-// Delta is the set of changes between two revisions of the store.
+// Delta is the set of changes between two positions of the store. Only one within an era
+// can be applied to another directory.
 type Delta struct {
-	From, To    carawaycart.StoreRevision
+	From, To    Position
 	Items       []carawaycart.StoreItem // items written after From
 	RemovedKeys []string                // keys of the items removed after From
 }
@@ -66,52 +75,84 @@
 // Empty reports whether the delta changes no item.
 func (d *Delta) Empty() bool { return len(d.Items) == 0 && len(d.RemovedKeys) == 0 }
 
-// ApplyRead applies a full read of the store at a revision and returns the changes
+// ApplyRead applies a full read of the store at a position and returns the changes
 // that it made. A read older than the directory is ignored, and its delta is empty.
-func (d *Directory) ApplyRead(items []carawaycart.StoreItem, revision carawaycart.StoreRevision) Delta {
-	delta := Delta{From: d.revision, To: d.revision}
-	if revision < d.revision {
+func (d *Directory) ApplyRead(items []carawaycart.StoreItem, at Position) Delta {
+	delta := Delta{From: d.position, To: d.position}
+	if at.Before(d.position) {
 		return delta
 	}
-	delta.To = revision
+	delta.To = at
+	d.enterEra(at.Era, items)
 	present := make(map[string]struct{}, len(items))
 	for _, i := range items {
 		present[i.Key] = struct{}{}
 		// An item that was newer than the read before is part of this delta too.
-		if d.insert(i) || i.Revision > delta.From && i.Revision <= revision {
+		if d.insert(i) || delta.From.Era != at.Era || i.Revision > delta.From.Revision && i.Revision <= at.Revision {
 			delta.Items = append(delta.Items, d.items[i.Key].item)
 		}
 	}
-	delta.RemovedKeys = d.removeAbsent(present, revision)
-	d.advance(revision)
+	delta.RemovedKeys = d.removeAbsent(present, at.Revision)
+	d.advance(at)
 	return delta
 }
 
+// enterEra prepares the directory for items, all items of the store, if era is later than
+// that of the directory. The revisions of the directory's items then say nothing of the
+// order in which these and items were written. Items that are equal in both are kept,
+// and so is a configuration until the store has one that is not older: operators write
+// again what the restore has removed.
+func (d *Directory) enterEra(era carawaycart.StoreEra, items []carawaycart.StoreItem) {
+	if era <= d.position.Era {
+		return
+	}
+	restored := make(map[string]carawaycart.StoreItem, len(items))
+	for _, i := range items {
+		restored[i.Key] = i
+	}
+	for key, e := range d.items {
+		i, ok := restored[key]
+		switch {
+		case ok && i.Revision == e.item.Revision && bytes.Equal(i.Value, e.item.Value):
+			continue
+		case e.decoded.Config != nil:
+			e.item.Revision, e.retained = 0, true
+			d.items[key] = e
+		default:
+			delete(d.items, key)
+		}
+		d.changes++
+	}
+	d.removals = removalLog{}
+	d.position = Position{Era: era}
+}
+
 // removeAbsent removes the items whose keys are not in present, the set of all
 // keys at a revision, and returns the removed keys, sorted. It retains items
 // written after that revision.
 func (d *Directory) removeAbsent(present map[string]struct{}, revision carawaycart.StoreRevision) []string {
 	var removed []string
 	for key, e := range d.items {
-		if _, ok := present[key]; !ok && e.item.Revision <= revision {
+		if _, ok := present[key]; !ok && !e.retained && e.item.Revision <= revision {
 			delete(d.items, key)
 			removed = append(removed, key)
 		}
 	}
+	d.changes += len(removed)
 	slices.Sort(removed)
 	d.removals.add(removed, revision)
 	return removed
 }
 
-// advance records that the directory is complete up to revision r.
-func (d *Directory) advance(r carawaycart.StoreRevision) {
-	d.revision = r
-	d.removals.advance(r)
+// advance records that the directory is complete up to the position at.
+func (d *Directory) advance(at Position) {
+	d.position = at
+	d.removals.advance(at.Revision)
 }
 
 // ApplyDelta applies a delta and reports whether the directory is now complete up to
 // delta.To. It returns false and changes nothing if the directory is older
-// than delta.From.
+// than delta.From, or of an earlier era than delta.To.
 //
 // A delta omits items that were both written and removed between From and To, but
 // a directory newer than From may hold them. Its items that were written between
@@ -121,21 +162,22 @@
 // tell; ApplyDelta then returns false and changes nothing.
 func (d *Directory) ApplyDelta(delta Delta) bool {
 	switch {
-	case delta.To <= d.revision:
+	case !d.position.Before(delta.To):
 		return true
-	case delta.From > d.revision:
+	case d.position.Before(delta.From) || d.position.Era != delta.To.Era || delta.From.Era != delta.To.Era:
 		return false
 	}
+	from, to := delta.From.Revision, delta.To.Revision
 	written := make(map[string]struct{}, len(delta.Items)+len(delta.RemovedKeys))
 	for _, i := range delta.Items {
 		written[i.Key] = struct{}{}
 	}
-	if d.revision == delta.From {
+	if d.position == delta.From {
 		for _, key := range delta.RemovedKeys {
 			written[key] = struct{}{}
 		}
 		for key, e := range d.items {
-			if _, ok := written[key]; !ok && e.item.Revision > delta.From && e.item.Revision <= delta.To {
+			if _, ok := written[key]; !ok && e.item.Revision > from && e.item.Revision <= to {
 				return false
 			}
 		}
@@ -145,39 +187,41 @@
 	}
 	removed := slices.Clone(delta.RemovedKeys)
 	for _, key := range delta.RemovedKeys {
-		if e, ok := d.items[key]; ok && e.item.Revision <= delta.To {
+		if e, ok := d.items[key]; ok && !e.retained && e.item.Revision <= to {
 			delete(d.items, key)
+			d.changes++
 		}
 	}
-	if d.revision > delta.From {
+	if delta.From.Before(d.position) {
 		for key, e := range d.items {
-			if _, ok := written[key]; !ok && e.item.Revision > delta.From && e.item.Revision <= delta.To {
+			if _, ok := written[key]; !ok && e.item.Revision > from && e.item.Revision <= to {
 				delete(d.items, key)
+				d.changes++
 				removed = append(removed, key)
 			}
 		}
 	}
-	d.removals.add(removed, delta.To)
+	d.removals.add(removed, to)
 	d.advance(delta.To)
 	return true
 }
 
-// DeltaSince returns the changes after revision r, up to which the directory of a peer is
-// complete. It returns false if the directory does not know all removals after r; the
-// peer then needs a snapshot. It knows them if it was itself complete up to exactly r: an
-// item that was written before r and removed after it may have come and gone between two
-// reads otherwise.
-func (d *Directory) DeltaSince(r carawaycart.StoreRevision) (Delta, bool) {
-	if r == 0 || r > d.revision {
+// DeltaSince returns the changes after p, up to which the directory of a peer is
+// complete. It returns false if p is of another era, or the directory does not know all
+// removals after p; the peer then needs a snapshot. It knows them if it was itself complete
+// up to exactly p: an item that was written before p and removed after it may have come and
+// gone between two reads otherwise.
+func (d *Directory) DeltaSince(p Position) (Delta, bool) {
+	if p.Revision == 0 || p.Era != d.position.Era || d.position.Before(p) {
 		return Delta{}, false
 	}
-	removed, ok := d.removals.after(r)
+	removed, ok := d.removals.after(p.Revision)
 	if !ok {
 		return Delta{}, false
 	}
-	delta := Delta{From: r, To: d.revision}
+	delta := Delta{From: p, To: d.position}
 	for _, e := range d.items {
-		if e.item.Revision > r {
+		if e.item.Revision > p.Revision || e.retained {
 			delta.Items = append(delta.Items, e.item)
 		}
 	}
@@ -188,26 +232,26 @@
 }
 
 // Snapshot is a snapshot of a directory, reduced to what a peer needs whose own
-// directory is complete up to an earlier revision.
+// directory is complete up to an earlier position.
 type Snapshot struct {
-	Revision carawaycart.StoreRevision // revision up to which the snapshot is complete
-	Items    []carawaycart.StoreItem   // items written after the peer's revision
-	Keys     []string                  // keys of all items
-	Ended    []carawaycart.LifetimeKey // recently ended lifetimes, which the store does not list
+	At    Position                  // position up to which the snapshot is complete
+	Items []carawaycart.StoreItem   // items written after the peer's position, or all if it is of another era
+	Keys  []string                  // keys of all items
+	Ended []carawaycart.LifetimeKey // recently ended lifetimes, which the store does not list
 
 	// Delta replaces Items and Keys if the peer can apply it and the sender knows all
-	// removals after the peer's revision. It is nil otherwise.
+	// removals after the peer's position. It is nil otherwise.
 	Delta *Delta
 }
 
 // SnapshotSince returns the snapshot for a peer whose directory is complete up to
-// revision r, with items and keys sorted by key. It leaves Ended to the caller,
+// position p, with items and keys sorted by key. It leaves Ended to the caller,
 // because the directory does not know ended lifetimes.
-func (d *Directory) SnapshotSince(r carawaycart.StoreRevision) Snapshot {
-	s := Snapshot{Revision: d.revision}
+func (d *Directory) SnapshotSince(p Position) Snapshot {
+	s := Snapshot{At: d.position}
 	for key, e := range d.items {
 		s.Keys = append(s.Keys, key)
-		if e.item.Revision > r {
+		if e.item.Revision > p.Revision || e.retained || p.Era != d.position.Era {
 			s.Items = append(s.Items, e.item)
 		}
 	}
@@ -219,9 +263,10 @@
 // ApplySnapshot applies the items and keys of a peer's snapshot and reports whether the
 // snapshot was newer than the directory; any other is ignored.
 func (d *Directory) ApplySnapshot(s Snapshot) bool {
-	if s.Revision <= d.revision {
+	if !d.position.Before(s.At) {
 		return false
 	}
+	d.enterEra(s.At.Era, s.Items)
 	for _, i := range s.Items {
 		d.insert(i)
 	}
@@ -229,15 +274,16 @@
 	for _, key := range s.Keys {
 		present[key] = struct{}{}
 	}
-	d.removeAbsent(present, s.Revision)
-	d.advance(s.Revision)
+	d.removeAbsent(present, s.At.Revision)
+	d.advance(s.At)
 	return true
 }
 
 // insert stores i and returns true, unless an item with its key and the same or a
 // newer revision is stored. It stores an item that cannot be decoded too, with what
 // was known before: a configuration stays in force, and an endpoint keeps its flows but
-// gets no new ones.
+// gets no new ones. A configuration is not replaced by an older version, since versions
+// only increase unless the store was restored.
 func (d *Directory) insert(i carawaycart.StoreItem) bool {
 	stored, ok := d.items[i.Key]
 	if ok && stored.item.Revision >= i.Revision {
@@ -256,7 +302,35 @@
 			decoded.Lifetime = &draining
 		}
 	}
-	d.items[i.Key] = entry{item: i, decoded: decoded}
+	inserted := entry{item: i, decoded: decoded}
+	if isOlderConfig(decoded.Config, stored.decoded.Config) {
+		inserted = entry{item: stored.item, decoded: stored.decoded, retained: true}
+		inserted.item.Revision = i.Revision
+	}
+	d.items[i.Key] = inserted
+	d.changes++
+	return true
+}
+
+// isOlderConfig reports whether c is an older version of the configuration than known.
+func isOlderConfig(c, known *carawaycart.RouteConfig) bool {
+	return c != nil && known != nil && c.Version < known.Version
+}
+
+// Retain stores i, which a peer holds, if it holds a newer version of the configuration at
+// the revision of the stored item, and reports whether it did. The peer has then retained
+// a configuration that was in force before the store was restored.
+func (d *Directory) Retain(i carawaycart.StoreItem) bool {
+	stored := d.items[i.Key]
+	if stored.decoded.Config == nil || i.Revision != stored.item.Revision || bytes.Equal(i.Value, stored.item.Value) {
+		return false
+	}
+	decoded, err := d.decode(i)
+	if err != nil || decoded.Config == nil || !isOlderConfig(stored.decoded.Config, decoded.Config) {
+		return false
+	}
+	d.items[i.Key] = entry{item: i, decoded: decoded, retained: true}
+	d.changes++
 	return true
 }
 
@@ -272,7 +346,8 @@
 	Config    *carawaycart.RouteConfig // nil if the store has none
 	ZonesOut  []carawaycart.ZoneID     // zones that operators have taken out
 	Lifetimes []*carawaycart.Lifetime
-	Revisions map[carawaycart.LifetimeKey]carawaycart.StoreRevision // revisions of the lifetimes' items
+	Revisions map[carawaycart.LifetimeKey]carawaycart.StoreRevision // revisions of the lifetimes' items, of Era
+	Era       carawaycart.StoreEra
 	Instances []carawaycart.Registration
 
 	// Unconfigured holds the endpoints whose entries name services that Config does not.
@@ -288,7 +363,7 @@
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
-	c := Contents{Revisions: make(map[carawaycart.LifetimeKey]carawaycart.StoreRevision)}
+	c := Contents{Revisions: make(map[carawaycart.LifetimeKey]carawaycart.StoreRevision), Era: d.position.Era}
 	for _, key := range keys {
 		e := d.items[key]
 		switch r := e.decoded; {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -27,14 +27,17 @@
 	return carawaycart.StoreItem{Key: key, Value: []byte(value), Revision: r}
 }
 
+// at returns the position of a revision in a store that states no era.
+func at(r carawaycart.StoreRevision) directory.Position { return directory.Position{Revision: r} }
+
 func zones(d *directory.Directory) []carawaycart.ZoneID { return d.Contents().ZonesOut }
 
 func TestApplyReadReturnsDelta(t *testing.T) {
 	d := directory.New(decodeZone)
-	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4)}, 5)
-	got := d.ApplyRead([]carawaycart.StoreItem{item("b", "2", 7), item("c", "1", 6)}, 8)
+	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4)}, at(5))
+	got := d.ApplyRead([]carawaycart.StoreItem{item("b", "2", 7), item("c", "1", 6)}, at(8))
 	want := directory.Delta{
-		From: 5, To: 8, Items: []carawaycart.StoreItem{item("b", "2", 7), item("c", "1", 6)}, RemovedKeys: []string{"a"},
+		From: at(5), To: at(8), Items: []carawaycart.StoreItem{item("b", "2", 7), item("c", "1", 6)}, RemovedKeys: []string{"a"},
 	}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got delta %+v, want %+v", got, want)
@@ -47,8 +50,8 @@
 // A read that is answered late must not restore items that a later read removed.
 func TestApplyReadIgnoresOlderRead(t *testing.T) {
 	d := directory.New(decodeZone)
-	d.ApplyRead([]carawaycart.StoreItem{item("a", "2", 9)}, 10)
-	if delta := d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4)}, 5); !delta.Empty() {
+	d.ApplyRead([]carawaycart.StoreItem{item("a", "2", 9)}, at(10))
+	if delta := d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4)}, at(5)); !delta.Empty() {
 		t.Errorf("got delta %+v, want an empty one", delta)
 	}
 	if got, want := zones(d), []carawaycart.ZoneID{"a=2"}; !slices.Equal(got, want) {
@@ -61,12 +64,12 @@
 // below the item's must not remove it.
 func TestApplyReadKeepsItemNewerThanRead(t *testing.T) {
 	d := directory.New(decodeZone)
-	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 12)}, 10)
-	d.ApplyRead(nil, 11)
+	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 12)}, at(10))
+	d.ApplyRead(nil, at(11))
 	if got, want := zones(d), []carawaycart.ZoneID{"a=1"}; !slices.Equal(got, want) {
 		t.Errorf("got zones %v, want %v: a read at revision 11 must not remove an item of revision 12", got, want)
 	}
-	d.ApplyRead(nil, 12)
+	d.ApplyRead(nil, at(12))
 	if got := zones(d); len(got) != 0 {
 		t.Errorf("got zones %v, want none", got)
 	}
@@ -77,14 +80,14 @@
 // must be applied if it begins at an earlier revision than the directory's.
 func TestApplyDeltaRejectsGap(t *testing.T) {
 	d := directory.New(decodeZone)
-	d.ApplyRead(nil, 5)
-	if d.ApplyDelta(directory.Delta{From: 6, To: 8, Items: []carawaycart.StoreItem{item("a", "1", 8)}}) {
+	d.ApplyRead(nil, at(5))
+	if d.ApplyDelta(directory.Delta{From: at(6), To: at(8), Items: []carawaycart.StoreItem{item("a", "1", 8)}}) {
 		t.Error("a delta across a gap of revisions was applied")
 	}
-	if !d.ApplyDelta(directory.Delta{From: 4, To: 7, Items: []carawaycart.StoreItem{item("a", "1", 7)}}) || d.Revision() != 7 {
-		t.Errorf("got revision %d after a delta from 4 to 7, want it applied", d.Revision())
+	if !d.ApplyDelta(directory.Delta{From: at(4), To: at(7), Items: []carawaycart.StoreItem{item("a", "1", 7)}}) || d.Position() != at(7) {
+		t.Errorf("got position %+v after a delta from 4 to 7, want it applied", d.Position())
 	}
-	if !d.ApplyDelta(directory.Delta{From: 1, To: 3, RemovedKeys: []string{"a"}}) || len(zones(d)) != 1 {
+	if !d.ApplyDelta(directory.Delta{From: at(1), To: at(3), RemovedKeys: []string{"a"}}) || len(zones(d)) != 1 {
 		t.Error("an old delta removed a newer item")
 	}
 }
@@ -102,8 +105,8 @@
 		return carawaycart.DecodedItem{Lifetime: &carawaycart.Lifetime{ID: carawaycart.EndpointID(i.Key), Service: "desk"}}, nil
 	}
 	d := directory.New(decode)
-	d.ApplyRead([]carawaycart.StoreItem{item("config", "1", 1), item("i-1", "1", 2)}, 5)
-	d.ApplyRead([]carawaycart.StoreItem{item("config", "bad", 6), item("i-1", "bad", 7), item("i-2", "bad", 8)}, 9)
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "1", 1), item("i-1", "1", 2)}, at(5))
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "bad", 6), item("i-1", "bad", 7), item("i-2", "bad", 8)}, at(9))
 	c := d.Contents()
 	if c.Config == nil || c.Config.Version != 7 {
 		t.Errorf("got configuration %+v, want version 7 to stay in force", c.Config)
@@ -114,7 +117,7 @@
 	if got := d.TakeRefusals(); len(got) != 3 || got[1].Key != "i-1" || got[1].Revision != 7 || len(d.TakeRefusals()) != 0 {
 		t.Errorf("got refusals %+v, want the three items, once", got)
 	}
-	d.ApplyRead([]carawaycart.StoreItem{item("config", "bad", 6), item("i-1", "2", 10), item("i-2", "bad", 8)}, 11)
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "bad", 6), item("i-1", "2", 10), item("i-2", "bad", 8)}, at(11))
 	if c := d.Contents(); len(c.Lifetimes) != 1 || c.Lifetimes[0].Draining {
 		t.Errorf("got lifetimes %+v, want i-1 in use again", c.Lifetimes)
 	}
@@ -122,7 +125,7 @@
 
 func TestDecodeFailuresAreCounted(t *testing.T) {
 	d := directory.New(decodeZone)
-	d.ApplyRead([]carawaycart.StoreItem{item("a", "bad", 1), item("b", "1", 2)}, 2)
+	d.ApplyRead([]carawaycart.StoreItem{item("a", "bad", 1), item("b", "1", 2)}, at(2))
 	if d.DecodeFailures() != 1 || len(zones(d)) != 1 {
 		t.Errorf("got %d decode failures and zones %v, want 1 and only b=1", d.DecodeFailures(), zones(d))
 	}
@@ -139,17 +142,28 @@
 		l.Service = carawaycart.ServiceID(i.Value)
 		return carawaycart.DecodedItem{Lifetime: l}, nil
 	})
-	d.ApplyRead([]carawaycart.StoreItem{item("config", "", 1), item("i-1", "desk", 2), item("i-2", "else", 3)}, 3)
+	d.ApplyRead([]carawaycart.StoreItem{item("config", "", 1), item("i-1", "desk", 2), item("i-2", "else", 3)}, at(3))
 	c := d.Contents()
 	if len(c.Lifetimes) != 1 || c.Lifetimes[0].ID != "i-1" {
 		t.Errorf("got %d lifetimes, want only i-1", len(c.Lifetimes))
 	}
 }
 
-// store models the platform's store.
+// store models the platform's store, which can be restored from a copy of itself.
 type store struct {
 	items    map[string]carawaycart.StoreItem
 	revision carawaycart.StoreRevision
+	era      carawaycart.StoreEra
+	copied   *store
+}
+
+func (s *store) copy() { s.copied = &store{items: maps.Clone(s.items), revision: s.revision} }
+
+func (s *store) restore() {
+	if s.copied != nil {
+		s.items, s.revision = maps.Clone(s.copied.items), s.copied.revision
+		s.era++
+	}
 }
 
 func (s *store) write(key, value string) {
@@ -164,13 +178,18 @@
 	}
 }
 
-func (s *store) read() ([]carawaycart.StoreItem, carawaycart.StoreRevision) {
-	return slices.Collect(maps.Values(s.items)), s.revision
+func (s *store) position() directory.Position {
+	return directory.Position{Era: s.era, Revision: s.revision}
+}
+
+func (s *store) read() ([]carawaycart.StoreItem, directory.Position) {
+	return slices.Collect(maps.Values(s.items)), s.position()
 }
 
 // Directories that apply reads, deltas and snapshots in any order, with deltas
-// lost, duplicated or delayed, must never return to an older revision, and must
-// hold the items of the store once they are complete up to its revision.
+// lost, duplicated or delayed, must never return to an older position, and must
+// hold the items of the store once they are complete up to its position. The store gives
+// revisions out again after it was restored.
 func TestDirectoriesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{items: make(map[string]carawaycart.StoreItem)}
@@ -178,8 +197,8 @@
 		var deltas []directory.Delta
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			d := directories[rapid.IntRange(0, 2).Draw(t, "directory")]
-			before := d.Revision()
-			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			before := d.Position()
+			switch rapid.IntRange(0, 8).Draw(t, "action") {
 			case 0, 1:
 				key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
 				s.write(key, fmt.Sprint(s.revision))
@@ -192,22 +211,26 @@
 					d.ApplyDelta(deltas[rapid.IntRange(0, len(deltas)-1).Draw(t, "delta")])
 				}
 			case 5:
-				d.ApplySnapshot(directories[rapid.IntRange(0, 2).Draw(t, "from")].SnapshotSince(d.Revision()))
+				d.ApplySnapshot(directories[rapid.IntRange(0, 2).Draw(t, "from")].SnapshotSince(d.Position()))
 			case 6:
-				if delta, ok := directories[rapid.IntRange(0, 2).Draw(t, "from")].DeltaSince(d.Revision()); ok {
+				if delta, ok := directories[rapid.IntRange(0, 2).Draw(t, "from")].DeltaSince(d.Position()); ok {
 					deltas = append(deltas, delta)
 					d.ApplyDelta(delta)
 				}
+			case 7:
+				s.copy()
+			case 8:
+				s.restore()
 			}
-			if d.Revision() < before {
-				t.Fatalf("got revision %d after revision %d, want no older one", d.Revision(), before)
+			if d.Position().Before(before) {
+				t.Fatalf("got position %+v after %+v, want no older one", d.Position(), before)
 			}
-			if d.Revision() == s.revision {
+			if d.Position() == s.position() {
 				checkEqual(t, d, s)
 			}
 		}
 		directories[0].ApplyRead(s.read())
-		directories[1].ApplySnapshot(directories[0].SnapshotSince(directories[1].Revision()))
+		directories[1].ApplySnapshot(directories[0].SnapshotSince(directories[1].Position()))
 		directories[2].ApplyRead(s.read())
 		for _, d := range directories {
 			checkEqual(t, d, s)
@@ -220,7 +243,7 @@
 	model := directory.New(decodeZone)
 	model.ApplyRead(s.read())
 	if got, want := zones(d), zones(model); !slices.Equal(got, want) {
-		t.Fatalf("at revision %d: got zones %v, want %v", s.revision, got, want)
+		t.Fatalf("at %+v: got zones %v, want %v", s.position(), got, want)
 	}
 }
 
@@ -234,7 +257,7 @@
 			d := directory.New(decodeZone)
 			b.ReportAllocs()
 			for b.Loop() {
-				d.ApplyRead(items, carawaycart.StoreRevision(n+1))
+				d.ApplyRead(items, at(carawaycart.StoreRevision(n+1)))
 			}
 		})
 	}
@@ -245,10 +268,10 @@
 // delta, and a sender that leaves it out of the next delta although it is there.
 func TestDeltaAfterReadWithNewerItem(t *testing.T) {
 	sender, receiver := directory.New(decodeZone), directory.New(decodeZone)
-	receiver.ApplyDelta(sender.ApplyRead([]carawaycart.StoreItem{item("a", "1", 7), item("b", "1", 8)}, 5))
-	delta := sender.ApplyRead([]carawaycart.StoreItem{item("a", "1", 7)}, 9) // b was removed
+	receiver.ApplyDelta(sender.ApplyRead([]carawaycart.StoreItem{item("a", "1", 7), item("b", "1", 8)}, at(5)))
+	delta := sender.ApplyRead([]carawaycart.StoreItem{item("a", "1", 7)}, at(9)) // b was removed
 	if !receiver.ApplyDelta(delta) {
-		receiver.ApplySnapshot(sender.SnapshotSince(receiver.Revision()))
+		receiver.ApplySnapshot(sender.SnapshotSince(receiver.Position()))
 	}
 	if got, want := zones(receiver), []carawaycart.ZoneID{"a=1"}; !slices.Equal(got, want) {
 		t.Errorf("got zones %v after the delta %+v, want %v", got, delta, want)
@@ -256,10 +279,10 @@
 	// An instance that saw b written and removed between two of its reads sends a delta
 	// that does not mention b.
 	other := directory.New(decodeZone)
-	other.ApplyRead(nil, 5)
+	other.ApplyRead(nil, at(5))
 	late := directory.New(decodeZone)
-	late.ApplyRead([]carawaycart.StoreItem{item("b", "1", 8)}, 5)
-	if late.ApplyDelta(other.ApplyRead(nil, 9)) && len(zones(late)) != 0 {
+	late.ApplyRead([]carawaycart.StoreItem{item("b", "1", 8)}, at(5))
+	if late.ApplyDelta(other.ApplyRead(nil, at(9))) && len(zones(late)) != 0 {
 		t.Errorf("got zones %v, want none, or a snapshot asked for", zones(late))
 	}
 }
@@ -273,7 +296,7 @@
 	d := directory.New(func(i carawaycart.StoreItem) (carawaycart.DecodedItem, error) {
 		return carawaycart.DecodedItem{Instances: []carawaycart.Registration{a(carawaycart.ZoneID(i.Value)), {ID: carawaycart.InstanceID("of-" + i.Key)}}}, nil
 	})
-	d.ApplyRead([]carawaycart.StoreItem{item("x", "old", 3), item("y", "new", 5), item("z", "older", 2)}, 6)
+	d.ApplyRead([]carawaycart.StoreItem{item("x", "old", 3), item("y", "new", 5), item("z", "older", 2)}, at(6))
 	got := d.Contents().Instances
 	if len(got) != 4 || got[0] != a("new") || got[1].ID != "of-x" {
 		t.Errorf("got %+v, want a once, as written last, and three others", got)
@@ -284,24 +307,24 @@
 // against the keys of all items in place of the few that were removed.
 func TestDeltaSince(t *testing.T) {
 	d := directory.New(decodeZone)
-	if _, ok := d.DeltaSince(0); ok {
+	if _, ok := d.DeltaSince(at(0)); ok {
 		t.Error("got a delta of an empty directory")
 	}
-	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4), item("c", "1", 4)}, 5)
-	d.ApplyRead([]carawaycart.StoreItem{item("b", "1", 4)}, 7)
-	d.ApplyRead([]carawaycart.StoreItem{item("b", "2", 8), item("a", "2", 9)}, 9)
+	d.ApplyRead([]carawaycart.StoreItem{item("a", "1", 3), item("b", "1", 4), item("c", "1", 4)}, at(5))
+	d.ApplyRead([]carawaycart.StoreItem{item("b", "1", 4)}, at(7))
+	d.ApplyRead([]carawaycart.StoreItem{item("b", "2", 8), item("a", "2", 9)}, at(9))
 	for _, test := range []struct {
 		since carawaycart.StoreRevision
 		want  *directory.Delta
 	}{
 		{4, nil}, // before the first read
-		{5, &directory.Delta{From: 5, To: 9, Items: []carawaycart.StoreItem{item("a", "2", 9), item("b", "2", 8)}, RemovedKeys: []string{"c"}}},
-		{7, &directory.Delta{From: 7, To: 9, Items: []carawaycart.StoreItem{item("a", "2", 9), item("b", "2", 8)}}},
+		{5, &directory.Delta{From: at(5), To: at(9), Items: []carawaycart.StoreItem{item("a", "2", 9), item("b", "2", 8)}, RemovedKeys: []string{"c"}}},
+		{7, &directory.Delta{From: at(7), To: at(9), Items: []carawaycart.StoreItem{item("a", "2", 9), item("b", "2", 8)}}},
 		{8, nil}, // between two reads
-		{9, &directory.Delta{From: 9, To: 9}},
+		{9, &directory.Delta{From: at(9), To: at(9)}},
 		{10, nil}, // a peer that is ahead
 	} {
-		got, ok := d.DeltaSince(test.since)
+		got, ok := d.DeltaSince(at(test.since))
 		if ok != (test.want != nil) || ok && (!reflect.DeepEqual(got.Items, test.want.Items) || !slices.Equal(got.RemovedKeys, test.want.RemovedKeys) || got.To != test.want.To) {
 			t.Errorf("since %d: got %+v, %t, want %+v", test.since, got, ok, test.want)
 		}
@@ -309,12 +332,12 @@
 	revision := carawaycart.StoreRevision(9)
 	for n := range 5000 { // each read removes an item, more than are remembered
 		revision++
-		d.ApplyRead([]carawaycart.StoreItem{item(fmt.Sprint("k", n), "1", revision)}, revision)
+		d.ApplyRead([]carawaycart.StoreItem{item(fmt.Sprint("k", n), "1", revision)}, at(revision))
 	}
-	if _, ok := d.DeltaSince(9); ok {
+	if _, ok := d.DeltaSince(at(9)); ok {
 		t.Error("got a delta from before the removals that are remembered")
 	}
-	if got, ok := d.DeltaSince(revision - 10); !ok || len(got.RemovedKeys) != 10 {
+	if got, ok := d.DeltaSince(at(revision - 10)); !ok || len(got.RemovedKeys) != 10 {
 		t.Errorf("got %d removals, %t, want the last 10", len(got.RemovedKeys), ok)
 	}
 }
--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -30,19 +30,23 @@
 	// failureWindow is how long after a store failure an entry that disappears
 	// counts as lapsed instead of ended.
 	failureWindow = 8 * time.Second
+	// restoreGrace is how long after a restore of the store an entry or a mark may be
+	// older than one that was read before. Endpoints and operators write theirs again
+	// within seconds.
+	restoreGrace = 8 * time.Second
 	// endedRetention is how long ended lifetimes are retained. It exceeds the
 	// 60 s for which their flows may last on the platform.
 	endedRetention = 70 * time.Second
 )
 
 // TrackedLifetime is a tracked lifetime with its presence. If only a peer has
-// reported the lifetime, Lifetime holds just its key, and Revision and ColdUntil are
+// reported the lifetime, Lifetime holds just its key, and WrittenAt and ColdUntil are
 // zero.
 type TrackedLifetime struct {
 	Lifetime carawaycart.Lifetime
 	Presence Presence
-	// Revision is that of the store item from which Lifetime was read.
-	Revision carawaycart.StoreRevision
+	// WrittenAt is that of the store item from which Lifetime was read.
+	WrittenAt Position
 	// ColdUntil is when the endpoint stops being cold. A cold endpoint has
 	// recently started and receives only limited load.
 	ColdUntil time.Time
@@ -54,7 +58,8 @@
 	// is missing: its endpoint may still run.
 	Absent bool
 
-	contested bool // whether its entry, or that of its address, seems to be that of another writer
+	contested    bool // whether its entry, or that of its address, seems to be that of another writer
+	heldDraining bool // whether it counts as draining although its entry does not say so
 }
 
 // LifetimeTracker tracks the presence of lifetimes across successive contents of a
@@ -63,6 +68,9 @@
 	lifetimes   map[carawaycart.LifetimeKey]*TrackedLifetime
 	lastFailure time.Time // latest known failure of the store; zero if none
 	lastRead    time.Time // start of the last known read of the store; zero if none
+	// settledAt is when the entries that a restore of the store has removed or replaced
+	// by older ones are written again; zero if there was none.
+	settledAt time.Time
 }
 
 // NewLifetimeTracker returns a tracker without lifetimes.
@@ -88,6 +96,12 @@
 	t.lastRead = later(t.lastRead, began)
 }
 
+// RecordRestore records that the store was found at now to be restored from a copy.
+func (t *LifetimeTracker) RecordRestore(now time.Time) {
+	t.RecordStoreFailure(now)
+	t.settledAt = now.Add(restoreGrace)
+}
+
 // ApplyContents applies the contents of the directory as of now, and then does what
 // Tick does.
 func (t *LifetimeTracker) ApplyContents(c *Contents, now time.Time) {
@@ -96,7 +110,7 @@
 	for _, l := range c.Lifetimes {
 		startByID[l.ID] = l.StartedAt
 		newestByAddress[l.Address] = max(newestByAddress[l.Address], l.StartedAt)
-		t.markPresent(l, c.Revisions[l.Key()], now)
+		t.markPresent(l, Position{Era: c.Era, Revision: c.Revisions[l.Key()]}, now)
 	}
 	for key, s := range t.lifetimes {
 		startedAt, listed := startByID[key.ID]
@@ -146,20 +160,24 @@
 	}
 }
 
-// markPresent marks l, which was read from an item with the given revision, as present.
-func (t *LifetimeTracker) markPresent(l *carawaycart.Lifetime, revision carawaycart.StoreRevision, now time.Time) {
+// markPresent marks l, which was read from the item written at the given position, as
+// present. An endpoint that was draining before a restore of the store stays so until
+// settledAt, since the restored entry may be older.
+func (t *LifetimeTracker) markPresent(l *carawaycart.Lifetime, writtenAt Position, now time.Time) {
 	s := t.lifetimes[l.Key()]
 	if s == nil {
 		s = &TrackedLifetime{}
 		t.lifetimes[l.Key()] = s
 	}
-	if s.Revision != revision {
+	if s.WrittenAt != writtenAt {
 		// ColdRemaining counts from when the entry was written. That time is unknown
 		// but no later than now, so ColdUntil may be late but not early.
 		s.ColdUntil = now.Add(l.ColdRemaining)
-		s.Revision = revision
+		s.WrittenAt = writtenAt
 	}
+	s.heldDraining = !l.Draining && s.Lifetime.Draining && now.Before(t.settledAt)
 	s.Lifetime, s.Presence, s.Absent = *l, Present, false
+	s.Lifetime.Draining = l.Draining || s.heldDraining
 }
 
 // handleAbsent marks a lifetime whose entry has just disappeared as lapsed if
@@ -208,11 +226,11 @@
 	return b
 }
 
-// HasLapsed reports whether any lifetime is lapsed. If so, the passing of time alone
-// may end it, without a change of the directory.
-func (t *LifetimeTracker) HasLapsed() bool {
+// MayChange reports whether the passing of time alone may change a lifetime, without a
+// change of the directory: one that is lapsed, or that is held as draining.
+func (t *LifetimeTracker) MayChange() bool {
 	for _, s := range t.lifetimes {
-		if s.Presence == Lapsed {
+		if s.Presence == Lapsed || s.heldDraining {
 			return true
 		}
 	}
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -109,16 +109,16 @@
 
 // newUpdate returns the message for a delta read at began, where failure is the time
 // of the last store failure, or zero if none is known. The message is partial,
-// without items, if it would exceed maxUpdateBytes.
+// without items, if it would exceed maxUpdateBytes or the delta enters another era.
 func (d *Disseminator) newUpdate(delta *directory.Delta, began, failure time.Time) *message.DirectoryNews {
 	now := d.clock.Now()
 	update := &message.DirectoryNews{
-		From: string(d.self), FromRevision: uint64(delta.From), ToRevision: uint64(delta.To),
+		From: string(d.self), FromRevision: uint64(delta.From.Revision), ToRevision: uint64(delta.To.Revision), Era: uint64(delta.To.Era),
 		AgeMs: uint32(max(now.Sub(began), 0).Milliseconds()),
 		Items: message.FromItems(delta.Items), Missing: delta.RemovedKeys,
 	}
 	update.TroubleMs = troubleMs(failure, now)
-	if proto.Size(update) > maxUpdateBytes {
+	if proto.Size(update) > maxUpdateBytes || delta.From.Era != delta.To.Era {
 		update.Items, update.Missing, update.Partial = nil, nil, true
 	}
 	return update
@@ -271,11 +271,11 @@
 	d.recordTrouble(update.GetTroubleMs(), now)
 	before := d.view.State()
 	delta := message.ToDelta(update)
-	if update.GetPartial() && delta.To > before.Revision || !d.view.ApplyUpdate(delta, update.GetFrom(), began) {
+	if update.GetPartial() && before.Position.Before(delta.To) || !d.view.ApplyUpdate(delta, update.GetFrom(), began) {
 		d.startFetch(update, from)
 		return
 	}
-	if update.GetRelay() && began.Sub(before.LastReadAt) > minRelayAdvance || update.GetRelay() && delta.To > before.Revision {
+	if update.GetRelay() && began.Sub(before.LastReadAt) > minRelayAdvance || update.GetRelay() && before.Position.Before(delta.To) {
 		d.relay(update, before.Instances)
 	}
 }
@@ -314,17 +314,22 @@
 
 // Join is like Fetch, and also asks the peer to register own.
 func (d *Disseminator) Join(ctx context.Context, address netip.AddrPort, own carawaycart.Registration) bool {
-	return d.requestSnapshot(ctx, address, address.String(), &message.DirectoryRequest{
-		Revision: uint64(d.view.State().Revision), Id: string(own.ID), Zone: string(own.Zone), PeerAddress: own.PeerAddress.String(),
-		AcceptsDelta: true,
-	})
+	r := d.newRequest()
+	r.Id, r.Zone, r.PeerAddress = string(own.ID), string(own.Zone), own.PeerAddress.String()
+	return d.requestSnapshot(ctx, address, address.String(), r)
+}
+
+// newRequest returns a request for the changes since the position of the view.
+func (d *Disseminator) newRequest() *message.DirectoryRequest {
+	p := d.view.State().Position
+	return &message.DirectoryRequest{Era: uint64(p.Era), Revision: uint64(p.Revision), AcceptsDelta: true}
 }
 
 // Fetch fetches a snapshot from the peer at address and applies it to the view. It
 // returns false if the request failed or the peer has not read the store yet. The
 // name identifies the peer in the log.
 func (d *Disseminator) Fetch(ctx context.Context, address netip.AddrPort, name string) bool {
-	return d.requestSnapshot(ctx, address, name, &message.DirectoryRequest{Revision: uint64(d.view.State().Revision), AcceptsDelta: true})
+	return d.requestSnapshot(ctx, address, name, d.newRequest())
 }
 
 // Refresh fetches the changes and the recently ended lifetimes from the peer at address.
@@ -340,7 +345,7 @@
 // rest of its directory, and records them in the view.
 func (d *Disseminator) fetchEnded(ctx context.Context, address netip.AddrPort, name string) {
 	reply := &message.DirectoryCopy{}
-	err := d.client.Call(ctx, address, "Directory", &message.DirectoryRequest{Revision: uint64(d.view.State().Revision), EndedOnly: true}, reply)
+	err := d.client.Call(ctx, address, "Directory", &message.DirectoryRequest{EndedOnly: true}, reply)
 	var snapshot directory.Snapshot
 	if err == nil {
 		snapshot, err = message.ToSnapshot(reply)
@@ -362,7 +367,7 @@
 	err := d.client.Call(ctx, address, "Directory", r, reply)
 	if err == nil {
 		var snapshot directory.Snapshot
-		if snapshot, err = message.ToSnapshot(reply); err == nil && snapshot.Revision > 0 {
+		if snapshot, err = message.ToSnapshot(reply); err == nil && snapshot.At.Revision > 0 {
 			d.recordTrouble(reply.GetTroubleMs(), began)
 			if d.view.ApplySnapshot(snapshot, name, began.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond)) {
 				return true
@@ -402,7 +407,7 @@
 		return message.FromSnapshot(directory.Snapshot{Ended: d.view.EndedLifetimes()}, 0)
 	}
 	now := d.clock.Now()
-	reply, err := d.snapshots.get(d.view, carawaycart.StoreRevision(r.GetRevision()), r.GetAcceptsDelta(), now)
+	reply, err := d.snapshots.get(d.view, message.ToPosition(r.GetEra(), r.GetRevision()), r.GetAcceptsDelta(), now)
 	if err == nil {
 		d.sent.add(len(reply.GetCompressedBody()), now)
 	}
@@ -416,31 +421,31 @@
 // snapshotCache retains the last encoded snapshot, because all peers of a zone
 // request the same one after a change.
 type snapshotCache struct {
-	mu              sync.Mutex
-	since, revision carawaycart.StoreRevision // reply updates a directory from since to revision
-	acceptsDelta    bool                      // whether reply may hold a delta
-	readAt          time.Time                 // start of the read of the store that reply reflects
-	encodedAt       time.Time                 // when reply was encoded
-	reply           *message.DirectoryCopy
+	mu           sync.Mutex
+	since, at    directory.Position // reply updates a directory from since to at
+	acceptsDelta bool               // whether reply may hold a delta
+	readAt       time.Time          // start of the read of the store that reply reflects
+	encodedAt    time.Time          // when reply was encoded
+	reply        *message.DirectoryCopy
 }
 
 // get returns the snapshot that a peer needs whose view is complete up to since. Its
 // age is that of the read at now. It returns an error if the snapshot cannot be
 // encoded.
-func (c *snapshotCache) get(view *View, since carawaycart.StoreRevision, acceptsDelta bool, now time.Time) (*message.DirectoryCopy, error) {
+func (c *snapshotCache) get(view *View, since directory.Position, acceptsDelta bool, now time.Time) (*message.DirectoryCopy, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reply == nil || c.since != since || c.acceptsDelta != acceptsDelta || c.revision != view.State().Revision || now.Sub(c.encodedAt) > snapshotCacheTTL {
+	if c.reply == nil || c.since != since || c.acceptsDelta != acceptsDelta || c.at != view.State().Position || now.Sub(c.encodedAt) > snapshotCacheTTL {
 		snapshot, readAt := view.SnapshotSince(since, acceptsDelta)
 		reply, err := message.FromSnapshot(snapshot, 0)
 		if err != nil {
 			return nil, err
 		}
-		c.since, c.acceptsDelta, c.revision, c.readAt, c.encodedAt, c.reply = since, acceptsDelta, snapshot.Revision, readAt, now, reply
+		c.since, c.acceptsDelta, c.at, c.readAt, c.encodedAt, c.reply = since, acceptsDelta, snapshot.At, readAt, now, reply
 	}
 	age := max(now.Sub(c.readAt), 0)
 	return &message.DirectoryCopy{
-		AtRevision: c.reply.GetAtRevision(), AgeMs: uint32(age.Milliseconds()), CompressedBody: c.reply.GetCompressedBody(),
+		AtRevision: c.reply.GetAtRevision(), Era: c.reply.GetEra(), AgeMs: uint32(age.Milliseconds()), CompressedBody: c.reply.GetCompressedBody(),
 		TroubleMs: troubleMs(view.State().LastFailure, now),
 	}, nil
 }
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -110,8 +110,8 @@
 		if after.LastReadAt.After(d.clock.Now()) {
 			t.Errorf("got a last read in the future, at %v", after.LastReadAt)
 		}
-		if after.Revision < before.Revision {
-			t.Errorf("got revision %d after %d", after.Revision, before.Revision)
+		if after.Position.Before(before.Position) {
+			t.Errorf("got position %+v after %+v", after.Position, before.Position)
 		}
 	})
 }
@@ -148,7 +148,7 @@
 		t.Fatal(err)
 	}
 	d.receive(data, netip.MustParseAddrPort("127.0.0.1:9"))
-	if got := v.State().Revision; got != 10 {
+	if got := v.State().Position.Revision; got != 10 {
 		t.Errorf("got revision %d after the panic, want 10", got)
 	}
 }
@@ -163,7 +163,7 @@
 	}
 	d.receive(data, netip.MustParseAddrPort("127.0.0.1:9"))
 	v.ApplyRead(platform.RangeResult{Revision: 12}, d.clock.Now())
-	if got := v.State().Revision; got != 12 {
+	if got := v.State().Position.Revision; got != 12 {
 		t.Errorf("got revision %d after a read at revision 12", got)
 	}
 }
@@ -195,7 +195,7 @@
 	if got := view.EndedLifetimes(); len(got) != 2 {
 		t.Errorf("got ended lifetimes %v, want i-1 and i-2", got)
 	}
-	if got := view.State().Revision; got != 12 {
+	if got := view.State().Position.Revision; got != 12 {
 		t.Errorf("got revision %d, want 12", got)
 	}
 }
@@ -230,7 +230,7 @@
 	if !behind.Fetch(t.Context(), address, "running") {
 		t.Fatal("the fetch failed")
 	}
-	if got := behindView.State().Revision; got != 14 {
+	if got := behindView.State().Position.Revision; got != 14 {
 		t.Errorf("got revision %d, want 14", got)
 	}
 }
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -106,7 +106,7 @@
 	e.backlogSender = newBacklogSender(backlog, e.router, newTranslator(), sockets.Fabric, clock, log)
 	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, newTranslator)
 	e.counters.RegisterViewGauges(
-		func() int64 { return int64(e.view.State().Revision) },
+		func() int64 { return int64(e.view.State().Position.Revision) },
 		func() int64 { return clock.Now().Sub(e.view.State().LastReadAt).Milliseconds() },
 		func() int64 { return int64(e.view.State().ItemsRefused) },
 	)
--- a/internal/edge/instance_test.go
+++ b/internal/edge/instance_test.go
@@ -75,9 +75,17 @@
 		}
 		s.Close()
 	})
-	for _, zone := range s.Zones {
+	f.addInstances(t, perZone)
+	return f
+}
+
+// addInstances starts perZone instances in each zone of f, which has none, and waits
+// until all are in rotation.
+func (f *fleet) addInstances(t *testing.T, perZone int) {
+	t.Helper()
+	for _, zone := range f.Zones {
 		for n := range perZone {
-			m, err := s.AddMachine(zone, n)
+			m, err := f.AddMachine(zone, n)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -86,8 +94,7 @@
 			f.start(t, i, "")
 		}
 	}
-	f.await(t, "all instances are in rotation", func() bool { return s.Routers.ReadyCount() == zones*perZone })
-	return f
+	f.await(t, "all instances are in rotation", func() bool { return f.Routers.ReadyCount() == len(f.instances) })
 }
 
 // start starts an instance. extraSettings are appended to its settings file.
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -180,11 +180,11 @@
 		return
 	}
 	if r.failures > 0 {
-		r.log.Event("storeRegained").Int("failures", int64(r.failures)).Int("revision", int64(read.Revision)).End()
+		r.log.Event("storeRegained").Int("failures", int64(r.failures)).Int("era", int64(read.Era)).Int("revision", int64(read.Revision)).End()
 	}
 	r.failures, r.retryAt = 0, time.Time{}
 	delta := r.view.ApplyRead(read, began)
-	r.log.Event("read").Int("revision", int64(read.Revision)).Int("written", int64(len(delta.Items))).
+	r.log.Event("read").Int("era", int64(read.Era)).Int("revision", int64(read.Revision)).Int("written", int64(len(delta.Items))).
 		Int("missing", int64(len(delta.RemovedKeys))).Millis("tookMs", now.Sub(began)).End()
 	r.disseminator.Broadcast(delta, began)
 }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -24,7 +24,7 @@
 	view := e.view.State()
 	s := e.settings.Load()
 	status := operator.Status{
-		Instance: s.ID, Zone: s.Zone, State: e.state(), Revision: carawaycart.Revision(view.Revision), Alarms: e.alarms(&view, now),
+		Instance: s.ID, Zone: s.Zone, State: e.state(), Revision: carawaycart.Revision(view.Position.Revision), Alarms: e.alarms(&view, now),
 	}
 	for _, i := range view.Instances {
 		status.Members = append(status.Members, operator.MemberStatus{ID: i.ID, Zone: i.Zone, State: "registered"})
@@ -126,7 +126,7 @@
 func (e *Instance) ExplainFlow(key carawaycart.FlowKey) (operator.FlowExplanation, error) {
 	now := e.clock.Now()
 	flow := e.router.Flow(&key, now)
-	explanation := operator.FlowExplanation{Revision: carawaycart.Revision(e.view.State().Revision), DecidedBy: e.settings.Load().ID}
+	explanation := operator.FlowExplanation{Revision: carawaycart.Revision(e.view.State().Position.Revision), DecidedBy: e.settings.Load().ID}
 	switch {
 	case !flow.Routed:
 		return explanation, errors.NotFoundf("route for %s", key.Service)
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -13,10 +13,13 @@
 	"carawaycart/platform"
 )
 
-// maxRevisionAdvance is the largest difference between the view's revision and that of
-// an update or snapshot that is believed. A revision that was damaged would otherwise make
-// the view take every later read for an old one.
-const maxRevisionAdvance = 1 << 32
+// Largest differences between the view's position and that of an update or snapshot that
+// is believed. A position that was damaged would otherwise make the view take every later
+// read for an old one.
+const (
+	maxRevisionAdvance = 1 << 32
+	maxEraAdvance      = 1 << 16
+)
 
 // View is the instance's replica of the platform's store. It rebuilds the router's
 // table when the replica changes. It is safe for concurrent use.
@@ -30,6 +33,7 @@
 	mu             sync.Mutex
 	directory      *directory.Directory
 	tracker        *directory.LifetimeTracker // presence of each lifetime
+	zones          directory.ZoneTracker      // zones out of service
 	contents       directory.Contents
 	operatorConfig *config.Configuration // set by operators with the carawaycart commands
 	lastReadAt     time.Time             // start of the last known read of the store
@@ -56,14 +60,14 @@
 		return
 	}
 	v.limits = l
-	if v.directory.Revision() != 0 {
+	if v.directory.Position().Revision != 0 {
 		v.rebuild("settings", v.clock.Now())
 	}
 }
 
 // State is the state of a view at one moment.
 type State struct {
-	Revision     carawaycart.StoreRevision  // revision up to which the view is complete
+	Position     directory.Position         // position up to which the view is complete
 	LastReadAt   time.Time                  // start of the last known read of the store; zero if none
 	StoreFailure time.Time                  // last known store failure that was not only a gap between reads; zero if none
 	LastFailure  time.Time                  // last known store failure of any kind; zero if none
@@ -78,7 +82,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return State{
-		Revision: v.directory.Revision(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure, LastFailure: v.tracker.LastFailure(),
+		Position: v.directory.Position(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure, LastFailure: v.tracker.LastFailure(),
 		FailedReads: v.failedReads.Clone(), ItemsRefused: v.directory.DecodeFailures(), Instances: v.contents.Instances, Renewed: v.renewed,
 	}
 }
@@ -89,28 +93,32 @@
 func (v *View) ApplyRead(r platform.RangeResult, began time.Time) directory.Delta {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delta := v.directory.ApplyRead(r.Items, r.Revision)
-	if r.Revision >= v.directory.Revision() {
-		v.recordRead(began, "store", !delta.Empty())
+	at := directory.Position{Era: r.Era, Revision: r.Revision}
+	before, changes := v.directory.Position(), v.directory.Changes()
+	delta := v.directory.ApplyRead(r.Items, at)
+	v.recordRestore(before, "store")
+	if !at.Before(v.directory.Position()) {
+		v.recordRead(began, "store", v.directory.Changes() != changes)
 	}
 	return delta
 }
 
 // ApplyUpdate applies a delta received from the peer from, for a read of the store
-// that began at began. It returns false if the delta begins at a later revision than
-// the view has, so that a snapshot is needed.
+// that began at began. It returns false if the delta begins at a later position than
+// the view has, or is of a later era, so that a snapshot is needed.
 func (v *View) ApplyUpdate(delta directory.Delta, from string, began time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	before := v.directory.Revision()
 	if !v.believes(delta.To) {
 		return true // nothing that a snapshot could mend
 	}
+	changes := v.directory.Changes()
 	if !v.directory.ApplyDelta(delta) {
 		return false
 	}
-	if delta.To >= v.directory.Revision() {
-		v.recordRead(began, from, delta.To > before && !delta.Empty())
+	v.retain(delta.To, delta.Items)
+	if !delta.To.Before(v.directory.Position()) {
+		v.recordRead(began, from, v.directory.Changes() != changes)
 	}
 	return true
 }
@@ -124,34 +132,73 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.believes(snapshot.Revision) {
+	if !v.believes(snapshot.At) {
 		return true // nothing that another snapshot could mend
 	}
 	endedAdded := v.tracker.RecordEnded(snapshot.Ended, v.clock.Now())
-	changed := v.directory.ApplySnapshot(snapshot) || endedAdded
-	if snapshot.Revision >= v.directory.Revision() {
+	before, changes := v.directory.Position(), v.directory.Changes()
+	v.directory.ApplySnapshot(snapshot)
+	v.recordRestore(before, from)
+	v.retain(snapshot.At, snapshot.Items)
+	changed := endedAdded || v.directory.Changes() != changes
+	if !snapshot.At.Before(v.directory.Position()) {
 		v.recordRead(began, from, changed)
-	} else if endedAdded {
+	} else if changed {
 		v.rebuild(from, v.clock.Now())
 	}
 	return true
 }
 
-// believes reports whether r, which a peer has sent, may be a revision of the store. It
+// retain stores the configuration among items, which a peer holds at the position at, if
+// it was in force before a restore of the store. v.mu must be held.
+func (v *View) retain(at directory.Position, items []carawaycart.StoreItem) {
+	if at.Era != v.directory.Position().Era {
+		return
+	}
+	for _, i := range items {
+		if v.directory.Retain(i) {
+			v.log.Event("configurationRetained").Int("revision", int64(i.Revision)).Int("era", int64(at.Era)).End()
+		}
+	}
+}
+
+// recordRestore records that the store was restored if the directory has entered a later
+// era since it was at before. What the store then lacks, or holds in an older form, may be
+// written again. The source is the peer that sent the read, or "store". v.mu must be held.
+func (v *View) recordRestore(before directory.Position, source string) {
+	after := v.directory.Position()
+	if before.Revision == 0 || after.Era == before.Era {
+		return
+	}
+	now := v.clock.Now()
+	v.recordStoreFailure(now)
+	v.tracker.RecordRestore(now)
+	v.zones.RecordRestore(now)
+	v.log.Event("storeRestored").Int("era", int64(after.Era)).Int("revision", int64(after.Revision)).
+		Int("eraBefore", int64(before.Era)).Int("revisionBefore", int64(before.Revision)).Text("source", source).End()
+}
+
+// believes reports whether p, which a peer has sent, may be a position of the store. It
 // logs one that is not. v.mu must be held.
-func (v *View) believes(r carawaycart.StoreRevision) bool {
-	own := v.directory.Revision()
-	if own == 0 || r <= own || r-own <= maxRevisionAdvance {
+func (v *View) believes(p directory.Position) bool {
+	own := v.directory.Position()
+	switch {
+	case own.Revision == 0 || p.Era < own.Era:
+		return true
+	case p.Era == own.Era && (p.Revision <= own.Revision || p.Revision-own.Revision <= maxRevisionAdvance):
+		return true
+	case p.Era > own.Era && p.Era-own.Era <= maxEraAdvance:
 		return true
 	}
-	v.log.Event("revisionRefused").Text("received", strconv.FormatUint(uint64(r), 10)).Text("own", strconv.FormatUint(uint64(own), 10)).End()
+	v.log.Event("revisionRefused").Text("received", strconv.FormatUint(uint64(p.Revision), 10)).Text("own", strconv.FormatUint(uint64(own.Revision), 10)).
+		Int("receivedEra", int64(p.Era)).Int("ownEra", int64(own.Era)).End()
 	return false
 }
 
 // recordRead records that the directory is complete up to a read of the store that
 // began at began. It rebuilds the router's table if the directory has changed, or
-// if a lifetime is lapsed, since it may end without such a change. The source is the
-// peer that sent the read, or "store". v.mu must be held.
+// if time alone may change a lifetime or zone. The source is the peer that sent the read,
+// or "store". v.mu must be held.
 func (v *View) recordRead(began time.Time, source string, changed bool) {
 	now := v.clock.Now()
 	v.tracker.RecordRead(began, now)
@@ -161,7 +208,7 @@
 		close(v.renewed)
 		v.renewed = make(chan struct{})
 	}
-	if changed || v.tracker.HasLapsed() {
+	if changed || v.tracker.MayChange() || v.zones.MayChange() {
 		v.rebuild(source, now)
 	}
 }
@@ -188,12 +235,13 @@
 		v.operatorConfig = operatorConfig
 	}
 	profiles := applyOperatorConfig(&v.contents, v.operatorConfig)
+	v.zones.ApplyContents(&v.contents, now)
 	v.tracker.ApplyContents(&v.contents, now)
 	table := steer.NewTable(&steer.Input{
-		Contents: v.contents, Revision: v.directory.Revision(), Lifetimes: v.tracker, Self: v.self, Limits: v.limits, Profiles: profiles,
+		Contents: v.contents, Revision: v.directory.Position().Revision, Lifetimes: v.tracker, Self: v.self, Limits: v.limits, Profiles: profiles,
 	}, v.router.Table(), now)
 	v.router.SetTable(table)
-	v.log.Event("view").Int("revision", int64(v.directory.Revision())).Int("config", int64(table.ConfigVersion)).
+	v.log.Event("view").Int("revision", int64(table.Revision)).Int("era", int64(v.directory.Position().Era)).Int("config", int64(table.ConfigVersion)).
 		Int("lifetimes", int64(len(v.contents.Lifetimes))).Int("instances", int64(len(v.contents.Instances))).
 		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("invalidRoutes", int64(invalidRoutes)).Int("unknownKinds", int64(unknownKinds)).
 		Int("profiles", int64(v.operatorConfig.Revision)).
@@ -242,17 +290,17 @@
 }
 
 // SnapshotSince returns the snapshot that a peer needs whose view is complete up to
-// revision, and the start of the read of the store that the snapshot reflects. The
+// the position p, and the start of the read of the store that the snapshot reflects. The
 // snapshot holds only a delta if the peer accepts one and the removals are known.
-func (v *View) SnapshotSince(revision carawaycart.StoreRevision, acceptsDelta bool) (directory.Snapshot, time.Time) {
+func (v *View) SnapshotSince(p directory.Position, acceptsDelta bool) (directory.Snapshot, time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if acceptsDelta {
-		if delta, ok := v.directory.DeltaSince(revision); ok {
-			return directory.Snapshot{Revision: delta.To, Delta: &delta}, v.lastReadAt
+		if delta, ok := v.directory.DeltaSince(p); ok {
+			return directory.Snapshot{At: delta.To, Delta: &delta}, v.lastReadAt
 		}
 	}
-	snapshot := v.directory.SnapshotSince(revision)
+	snapshot := v.directory.SnapshotSince(p)
 	snapshot.Ended = v.tracker.EndedLifetimes()
 	return snapshot, v.lastReadAt
 }
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -115,7 +115,7 @@
 // later. Guards against resetting flows because the instance that reads first is one whose
 // own reads did not fail.
 func TestOutageNoticedByPeersEndsNoLifetime(t *testing.T) {
-	removal := directory.Delta{From: 10, To: 11, RemovedKeys: []string{"servers/i-1"}}
+	removal := directory.Delta{From: directory.Position{Revision: 10}, To: directory.Position{Revision: 11}, RemovedKeys: []string{"servers/i-1"}}
 	for _, test := range []struct {
 		name string
 		read func(*viewFixture)
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"carawaycart/io/peer"
 	"carawaycart/message"
@@ -254,3 +256,47 @@
 		t.Errorf("got %d calls, want 1, since malformed input is not a call", n)
 	}
 }
+
+// directoryHandler is a DirectoryHandler that answers with a fixed reply.
+type directoryHandler struct{ reply *message.DirectoryCopy }
+
+func (h directoryHandler) Directory(*message.DirectoryRequest) (*message.DirectoryCopy, error) {
+	return h.reply, nil
+}
+
+// Guards against a field of a snapshot, such as the era of the store, that the server leaves
+// out of its replies.
+func TestDirectoryReplyIsWhole(t *testing.T) {
+	want := &message.DirectoryCopy{}
+	fields := want.ProtoReflect().Descriptor().Fields()
+	for n := range fields.Len() {
+		switch f := fields.Get(n); f.Kind() {
+		case protoreflect.Uint64Kind:
+			want.ProtoReflect().Set(f, protoreflect.ValueOfUint64(uint64(n+1)))
+		case protoreflect.Uint32Kind:
+			want.ProtoReflect().Set(f, protoreflect.ValueOfUint32(uint32(n+1)))
+		case protoreflect.BytesKind:
+			want.ProtoReflect().Set(f, protoreflect.ValueOfBytes([]byte{byte(n + 1)}))
+		default:
+			t.Fatalf("no value for field %s", f.FullName())
+		}
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := peer.NewDirectoryServer(listener, directoryHandler{want}, discardMeter{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	client := peer.NewClient(discardMeter{})
+	defer client.Close()
+	got := &message.DirectoryCopy{}
+	if err := client.Call(t.Context(), listener.Addr().(*net.TCPAddr).AddrPort(), "Directory", &message.DirectoryRequest{}, got); err != nil {
+		t.Fatal(err)
+	}
+	if !proto.Equal(got, want) {
+		t.Errorf("got reply %v, want %v", got, want)
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -130,7 +130,7 @@
 func (s *directoryService) Directory(args *message.DirectoryRequest, reply *message.DirectoryCopy) error {
 	handle := func() (*message.DirectoryCopy, error) { return s.handler.Directory(args) }
 	return answer(reply, handle, func(d, r *message.DirectoryCopy) {
-		d.AtRevision, d.AgeMs, d.TroubleMs, d.CompressedBody = r.AtRevision, r.AgeMs, r.TroubleMs, r.CompressedBody
+		d.AtRevision, d.Era, d.AgeMs, d.TroubleMs, d.CompressedBody = r.AtRevision, r.Era, r.AgeMs, r.TroubleMs, r.CompressedBody
 	})
 }
 
--- a/lifetime.go
+++ b/lifetime.go
@@ -99,6 +99,11 @@
 // none.
 type StoreRevision uint64
 
+// StoreEra is the number of times that the platform's metadata store was restored from a
+// copy. Revisions of different eras cannot be compared, since a restored store gives them
+// out again. It is zero if the store does not state it.
+type StoreEra uint64
+
 // StoreItem is an item of the platform's metadata store: a key with the value last
 // written to it.
 type StoreItem struct {
--- a/message/directory.go
+++ b/message/directory.go
@@ -38,17 +38,22 @@
 // ToDelta returns the delta in n. It is empty if n is partial.
 func ToDelta(n *DirectoryNews) directory.Delta {
 	return directory.Delta{
-		From: carawaycart.StoreRevision(n.GetFromRevision()), To: carawaycart.StoreRevision(n.GetToRevision()),
+		From: ToPosition(n.GetEra(), n.GetFromRevision()), To: ToPosition(n.GetEra(), n.GetToRevision()),
 		Items: ToItems(n.GetItems()), RemovedKeys: n.GetMissing(),
 	}
 }
 
+// ToPosition returns the position of a revision in an era.
+func ToPosition(era, revision uint64) directory.Position {
+	return directory.Position{Era: carawaycart.StoreEra(era), Revision: carawaycart.StoreRevision(revision)}
+}
+
 // FromSnapshot returns the message for the snapshot s, where age is the time since the
 // store was read.
 func FromSnapshot(s directory.Snapshot, age time.Duration) (*DirectoryCopy, error) {
 	body := &DirectoryBody{Items: FromItems(s.Items), Keys: s.Keys}
 	if s.Delta != nil {
-		body = &DirectoryBody{Items: FromItems(s.Delta.Items), FromRevision: uint64(s.Delta.From), Removed: s.Delta.RemovedKeys}
+		body = &DirectoryBody{Items: FromItems(s.Delta.Items), FromRevision: uint64(s.Delta.From.Revision), Removed: s.Delta.RemovedKeys}
 	}
 	for _, k := range s.Ended {
 		body.Ended = append(body.Ended, &EndedLifetime{Id: string(k.ID), BornMs: int64(k.StartedAt)})
@@ -68,7 +73,9 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "compress directory snapshot")
 	}
-	return &DirectoryCopy{AtRevision: uint64(s.Revision), AgeMs: uint32(age.Milliseconds()), CompressedBody: b.Bytes()}, nil
+	return &DirectoryCopy{
+		AtRevision: uint64(s.At.Revision), Era: uint64(s.At.Era), AgeMs: uint32(age.Milliseconds()), CompressedBody: b.Bytes(),
+	}, nil
 }
 
 // ToSnapshot returns the snapshot in m. The error is NotValid if the body cannot be
@@ -85,10 +92,10 @@
 	if err := proto.Unmarshal(data, body); err != nil {
 		return directory.Snapshot{}, errors.NewNotValid(err, "directory snapshot")
 	}
-	s := directory.Snapshot{Revision: carawaycart.StoreRevision(m.GetAtRevision())}
+	s := directory.Snapshot{At: ToPosition(m.GetEra(), m.GetAtRevision())}
 	if from := body.GetFromRevision(); from != 0 {
 		s.Delta = &directory.Delta{
-			From: carawaycart.StoreRevision(from), To: s.Revision, Items: ToItems(body.GetItems()), RemovedKeys: body.GetRemoved(),
+			From: ToPosition(m.GetEra(), from), To: s.At, Items: ToItems(body.GetItems()), RemovedKeys: body.GetRemoved(),
 		}
 	} else {
 		s.Items, s.Keys = ToItems(body.GetItems()), body.GetKeys()
