Keep to leases of the era in which they were granted

After a restore the store gives the ID of a lost lease out again. The instance that had it before then wrote its registrations under the lease of another instance and renewed it: they expired with the other instance, and the other one stayed listed after its end. Instances whose registration was lost with its lease took up to 3 s more to write it again.

Cause: a lease was known by its ID alone.

Now a lease is an ID in an era.

--- a/internal/edge/registrar.go
+++ b/internal/edge/registrar.go
@@ -42,7 +42,7 @@
 	log   *eventlog.Log
 
 	mu          sync.Mutex
-	lease       platform.LeaseID           // lease of the written entries; zero if there is none
+	lease       platform.Lease             // lease of the written entries; zero if there is none
 	written     []carawaycart.Registration // entries written under lease
 	renewAt     time.Time                  // when the lease is next renewed
 	retryAt     time.Time                  // when the own entry may be written again
@@ -80,7 +80,7 @@
 func (g *Registrar) Written() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lease != 0
+	return g.lease.ID != 0
 }
 
 // Reconcile writes the instance's entry and those that peers asked for, unless they
@@ -94,6 +94,7 @@
 	if state.LastReadAt.IsZero() {
 		return
 	}
+	g.dropRestored(&state)
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	if due := g.due(&state, now); len(due) > 0 {
@@ -103,13 +104,13 @@
 			return
 		}
 		g.requested = nil
-		g.log.Event("registered").Int("entries", int64(len(due))).Int("lease", int64(g.lease)).End()
+		g.log.Event("registered").Int("entries", int64(len(due))).Int("lease", int64(g.lease.ID)).End()
 		return
 	}
-	if g.lease != 0 && now.After(g.renewAt) {
+	if g.lease.ID != 0 && now.After(g.renewAt) {
 		g.renewAt = now.Add(registerRetryPeriod)
 		if err := g.store.RenewLease(ctx, g.lease); err != nil {
-			g.lease, g.written = 0, nil
+			g.lease, g.written = platform.Lease{}, nil
 			g.log.Event("leaseLost").Err(err).End()
 			return
 		}
@@ -117,6 +118,20 @@
 	}
 }
 
+// dropRestored forgets the lease if the store was restored since it was granted, unless
+// the entries written under it are in the restored store. Its ID may be given out again, to
+// another instance. The own entry may be written again at once.
+func (g *Registrar) dropRestored(state *State) {
+	switch {
+	case g.lease.ID == 0 || g.lease.Era >= state.Position.Era:
+	case g.view.Has(platform.RegistrationsKey(g.own.ID, g.lease.ID)):
+		g.lease.Era = state.Position.Era
+	default:
+		g.log.Event("leaseLost").Int("lease", int64(g.lease.ID)).Int("era", int64(state.Position.Era)).End()
+		g.lease, g.written, g.retryAt = platform.Lease{}, nil, time.Time{}
+	}
+}
+
 // due returns the entries to write at now, and discards requests for entries that
 // are listed already.
 func (g *Registrar) due(state *State, now time.Time) []carawaycart.Registration {
@@ -135,7 +150,7 @@
 // entries of one writer share an item, so that a read of the store has few items. It
 // obtains a lease if there is none, and drops the lease if the write fails.
 func (g *Registrar) register(ctx context.Context, entries []carawaycart.Registration, now time.Time) error {
-	if g.lease == 0 {
+	if g.lease.ID == 0 {
 		lease, err := g.store.GrantLease(ctx, leaseTTL)
 		if err != nil {
 			return err
@@ -150,8 +165,8 @@
 	if err != nil {
 		return err
 	}
-	if err := g.store.Put(ctx, carawaycart.StoreItem{Key: platform.RegistrationsKey(g.own.ID, g.lease), Value: value}, g.lease); err != nil {
-		g.lease = 0 // the lease may have expired
+	if err := g.store.Put(ctx, carawaycart.StoreItem{Key: platform.RegistrationsKey(g.own.ID, g.lease.ID), Value: value}, g.lease); err != nil {
+		g.lease = platform.Lease{} // the lease may have expired
 		return err
 	}
 	g.written = all
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -336,3 +336,19 @@
 	}
 	return len(ids)
 }
+
+// Guards against instances that no starting instance finds, because they take the
+// registrations that the restore has removed for listed.
+func TestInstancesAreListedAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 0)
+	c := f.Store.Copy()
+	f.addInstances(t, 2)
+	f.await(t, "all instances are listed", func() bool { return f.listed(t) == len(f.instances) })
+	f.advance(lostWrites)
+	time.Sleep(readPause)
+	f.Restore(c, 0)
+	// A registration is retried every 3 s.
+	f.within(t, 10*time.Second, "all instances are listed again", func() bool { return f.listed(t) == len(f.instances) })
+	f.checkLedger(t)
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -271,6 +271,14 @@
 	v.failedReads.RecordFailure(id, when)
 }
 
+// Has reports whether the view has an item with the given key.
+func (v *View) Has(key string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, ok := v.directory.Item(key)
+	return ok
+}
+
 // EndedLifetimes returns the lifetimes that have ended recently, which the store does not
 // list.
 func (v *View) EndedLifetimes() []carawaycart.LifetimeKey {
