Write again the operators' changes that a restore has lost

Operators were told that a change is accepted; after a restore of the store from an older copy it was in force on the instances that had read it, but not in the store, and the next changes got its revision and those before: instances ignored them until the log was longer than before, and then took another configuration than the one that they had in force.

Cause: the change log is written by this program alone, so that nobody else writes again what a restore removes, and its revisions are compared like those of the store.

Now the entries that a restore removes stay in force, and the instance that reads the store writes them again, in order, if their keys are still free.

TestAcceptedChangeOutlivesRestore fails without the rewriting ("timed out waiting until the change is in the store again") and passes.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -28,6 +28,7 @@
 	changes        int
 	decodeFailures int
 	refusals       []Refusal
+	lost           []carawaycart.StoreItem
 	removals       removalLog
 }
 
@@ -64,6 +65,14 @@
 	return r
 }
 
+// TakeLost returns the items that restores of the store have removed or replaced since the
+// last call, except a configuration that is retained.
+func (d *Directory) TakeLost() []carawaycart.StoreItem {
+	l := d.lost
+	d.lost = nil
+	return l
+}
+
 // Delta is the set of changes between two positions of the store. Only one within an era
 // can be applied to another directory.
 type Delta struct {
@@ -120,6 +129,7 @@
 			d.items[key] = e
 		default:
 			delete(d.items, key)
+			d.lost = append(d.lost, e.item)
 		}
 		d.changes++
 	}
--- a/internal/edge/operatorconfig.go
+++ b/internal/edge/operatorconfig.go
@@ -11,12 +11,19 @@
 	"carawaycart/io/platform"
 )
 
-// directoryStore adapts a directory to a carawaycart.Store that supports only Get.
-type directoryStore struct{ directory *directory.Directory }
+// directoryStore adapts a directory to a carawaycart.Store that supports only Get. Entries
+// that a restore of the store has removed count as present.
+type directoryStore struct {
+	directory *directory.Directory
+	lost      lostChanges
+}
 
 // Get returns the entry at key, or a NotFound error if there is none.
 func (s directoryStore) Get(_ context.Context, key string) (carawaycart.StoreEntry, error) {
 	item, ok := s.directory.Item(key)
+	if !ok {
+		item, ok = s.lost.entries[key]
+	}
 	if !ok {
 		return carawaycart.StoreEntry{}, errors.NotFoundf("item %s", key)
 	}
@@ -42,8 +49,8 @@
 // carawaycart commands: profiles, their services, marks of endpoints, and zones. It
 // skips changes that cannot be decoded or applied, and returns an error if the
 // snapshot of the configuration cannot be decoded.
-func loadOperatorConfig(d *directory.Directory, clock carawaycart.Clock) (*config.Configuration, error) {
-	return platform.NewChangeLog(directoryStore{d}, clock).Latest(context.Background())
+func loadOperatorConfig(d *directory.Directory, lost lostChanges, clock carawaycart.Clock) (*config.Configuration, error) {
+	return platform.NewChangeLog(directoryStore{d, lost}, clock).Latest(context.Background())
 }
 
 // applyOperatorConfig adds the zones that operators took out of service to
--- a/internal/edge/operatorconfig_test.go
+++ b/internal/edge/operatorconfig_test.go
@@ -64,3 +64,45 @@
 	f.awaitRequests(t, 100)
 	f.checkLedger(t)
 }
+
+// Guards against changes of operators that were accepted and are neither in force nor in
+// the store after a restore, and against their revisions being given to other changes while
+// instances hold the first ones.
+func TestAcceptedChangeOutlivesRestore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 2)
+	f.BeginLoad(2, 40)
+	f.awaitRequests(t, 60)
+	store := platformstore.NewStore(f.Store.URL(), nil)
+	t.Cleanup(store.Close)
+	clock := carawaycart.NewSystemClock()
+	changeLog := platform.NewChangeLog(store, clock)
+	a := admin.NewAdmin(changeLog, "anna", clock)
+	if _, err := a.Put(t.Context(), carawaycart.KindZone, "b", carawaycart.Zone{ID: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	c := f.Store.Copy()
+	if _, err := a.SetZoneOut(t.Context(), "b", true); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range f.Endpoints {
+		if e.Zone == "b" {
+			e.ForbidNewFlows(time.Now().Add(standin.EvacuationTimeLimit))
+		}
+	}
+	f.await(t, "new flows are forbidden", f.Endpoints[2].NewFlowsForbidden)
+	before := f.newFlows("b")
+	f.restoreAfterLostWrites(c, 0)
+	f.await(t, "the change is in the store again", func() bool {
+		latest, err := changeLog.Latest(t.Context())
+		return err == nil && latest.Revision == 2 && latest.Zones["b"].Out
+	})
+	time.Sleep(drillGap)
+	if got := f.newFlows("b") - before; got > 0 {
+		t.Errorf("got %d new flows in the zone that is out, want none", got)
+	}
+	if _, err := a.SetZoneOut(t.Context(), "b", false); err != nil {
+		t.Fatal(err)
+	}
+	f.within(t, standin.EvacuationTimeLimit, "the zone gets flows again", func() bool { return f.newFlows("b") > before })
+}
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -187,6 +187,7 @@
 	r.log.Event("read").Int("era", int64(read.Era)).Int("revision", int64(read.Revision)).Int("written", int64(len(delta.Items))).
 		Int("missing", int64(len(delta.RemovedKeys))).Millis("tookMs", now.Sub(began)).End()
 	r.disseminator.Broadcast(delta, began)
+	r.rewriteLost(callCtx)
 }
 
 // isClosed reports whether err results from the use of a closed connection.
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -36,6 +36,7 @@
 	zones          directory.ZoneTracker      // zones out of service
 	contents       directory.Contents
 	operatorConfig *config.Configuration // set by operators with the carawaycart commands
+	lost           lostChanges
 	lastReadAt     time.Time             // start of the last known read of the store
 	storeFailure   time.Time             // time of the last known store failure
 	failedReads    directory.FailedReads // failed reads by this instance and its peers
@@ -170,6 +171,7 @@
 	if before.Revision == 0 || after.Era == before.Era {
 		return
 	}
+	v.lost.add(v.directory.TakeLost())
 	now := v.clock.Now()
 	v.recordStoreFailure(now)
 	v.tracker.RecordRestore(now)
@@ -227,7 +229,8 @@
 			unknownKinds += int(boolToInt(c.Routes[i].Kind == carawaycart.RequestUnknown))
 		}
 	}
-	operatorConfig, err := loadOperatorConfig(v.directory, v.clock)
+	v.lost.prune(v.directory, v.log)
+	operatorConfig, err := loadOperatorConfig(v.directory, v.lost, v.clock)
 	if err != nil {
 		// The last valid configuration stays in effect.
 		v.log.Event("profilesRefused").Err(err).End()
@@ -279,6 +282,14 @@
 	return ok
 }
 
+// LostChanges returns the oldest entries of the change log that a restore of the store has
+// removed, in order.
+func (v *View) LostChanges() []carawaycart.StoreItem {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lost.oldest()
+}
+
 // EndedLifetimes returns the lifetimes that have ended recently, which the store does not
 // list.
 func (v *View) EndedLifetimes() []carawaycart.LifetimeKey {
--- a/io/platform/changelog.go
+++ b/io/platform/changelog.go
@@ -36,6 +36,9 @@
 	return &ChangeLog{store: store, clock: clock}
 }
 
+// IsLogKey reports whether key is that of an entry of a change log.
+func IsLogKey(key string) bool { return strings.HasPrefix(key, logPrefix) }
+
 func logKey(r carawaycart.Revision) string { return fmt.Sprintf("%s%012d", logPrefix, uint64(r)) }
 
 // ConflictError is returned for a change to an object that another change, Winner,
