Restore the store from a copy in the soak

The soak had no fault in which the store loses what it has acknowledged. It now draws one, with writes that are lost, and operators that write again only later.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 	cause  string
 }{
 	{1, 12, "no failure; the short run of CI"},
+	{10, 24, "a zone was taken out at a revision below that known from before a restore of the store, and got new flows"},
 }
 
 const (
@@ -41,6 +42,11 @@
 	feedsPerZone      = 4
 	requestsPerSecond = 15 // per zone
 	finalRequests     = 60 // requests that must all be answered after the last fault
+
+	// rewriteTime is the time in which endpoints write again what a restore has lost.
+	rewriteTime = 2 * time.Second
+	// lostWritePeriod is the time between writes that a restore loses.
+	lostWritePeriod = 20 * time.Millisecond
 )
 
 var (
@@ -297,6 +303,18 @@
 			r.Ledger.RecordViolation("configure: %v", err)
 		}
 	}},
+	{"store restored", func(r *run, _ *process, _ *standin.Endpoint, span time.Duration) {
+		c := r.Store.Copy()
+		// These writes are lost, like others in this time, so that revisions go back far.
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(lostWritePeriod) {
+			r.Store.Put("other/key", nil)
+		}
+		r.Store.SetFault("", standin.FaultUnavailable)
+		time.Sleep(span / 4)
+		r.Restore(c, span/2)
+		r.Store.SetFault("", standin.FaultNone)
+		time.Sleep(max(span/2, rewriteTime))
+	}},
 }
 
 // plannedFaults names the planned changes, during which the time limits of guarantees
@@ -335,7 +353,10 @@
 		span := time.Duration(200+r.random.IntN(3800)) * time.Millisecond
 		pause := time.Duration(r.random.IntN(1500)) * time.Millisecond
 		keys := []any{p, e}
-		if f.name == "store" || f.name == "zone out" {
+		switch f.name {
+		case "store", "store restored":
+			keys = []any{"store"}
+		case "zone out":
 			keys = []any{f.name}
 		}
 		time.Sleep(pause)
