Emulate a store of the change log that comes back from a copy

The platform's store may lose what was written in the last seconds and count its revisions from there again. The emulated store of the change log could only fail, so no test could show what instances do then. Copy and Restore return it to an earlier state; blocking reads end with a failure.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -25,13 +26,14 @@
 	defaultWait     = 30 * time.Second // wait limit of a blocking read without a valid wait parameter
 )
 
-// Store emulates the platform's key-value service. Outages, delays and lost
-// responses can be injected.
+// Store emulates the platform's key-value service. Outages, delays, lost responses
+// and restores from a copy can be injected.
 type Store struct {
 	mu          sync.Mutex
 	entries     map[string]carawaycart.StoreEntry
 	index       carawaycart.StoreIndex // index of the latest write
-	changed     chan struct{}          // closed and replaced on every write or change of down
+	restores    int                    // number of calls of Restore
+	changed     chan struct{}          // closed and replaced on every write, restore or change of down
 	down        bool
 	delay       time.Duration
 	dropAnswers int // number of next writes that are applied without a response
@@ -47,6 +49,12 @@
 	url          string
 }
 
+// StoreCopy is a copy of the contents of a Store at one time.
+type StoreCopy struct {
+	entries map[string]carawaycart.StoreEntry
+	index   carawaycart.StoreIndex
+}
+
 // NewStore starts an empty store that listens on address, a host:port whose port
 // may be 0.
 func NewStore(address string) (*Store, error) {
@@ -83,6 +91,23 @@
 	s.notifyLocked()
 }
 
+// Copy returns a copy of the contents of s.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{entries: maps.Clone(s.entries), index: s.index}
+}
+
+// Restore replaces the contents of s by c, which may be used again. Later writes are
+// lost, and their indexes are assigned again. Blocking reads fail.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.index = maps.Clone(c.entries), c.index
+	s.restores++
+	s.notifyLocked()
+}
+
 // SetDelay delays every call by d.
 func (s *Store) SetDelay(d time.Duration) {
 	s.mu.Lock()
@@ -169,7 +194,7 @@
 }
 
 // awaitChange blocks until the index of key exceeds index, the wait limit of r
-// passes or r is cancelled. It returns false if the store is down.
+// passes or r is cancelled. It returns false if the store is down or is restored.
 func (s *Store) awaitChange(r *http.Request, key string, index carawaycart.StoreIndex) bool {
 	wait, err := time.ParseDuration(r.FormValue("wait"))
 	if err != nil {
@@ -177,9 +202,12 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	first := s.restores
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		down, changed, current := s.down, s.changed, s.entries[key].Index
+		down, changed, current := s.down || s.restores != first, s.changed, s.entries[key].Index
 		s.mu.Unlock()
 		if down {
 			return false
