Do not pass on changes that lead up to another configuration

A peer that fetches the changes it lacks may get earlier ones that it has, or ones with a gap, and stays behind until it asks another peer: an instance that loaded a whole configuration kept the changes that it had applied before, and counted back from its revision in them.

Now loading a configuration forgets them. TestChangesSinceLoadedConfiguration failed before (changes 3 and 4 for those after revision 5) and passes.

--- a/internal/control/configurer.go
+++ b/internal/control/configurer.go
@@ -50,7 +50,7 @@
 	mu      sync.Mutex
 	current *config.Configuration // nil before the first one
 	pending *config.PendingChanges
-	recent  []carawaycart.Change // applied last, oldest first
+	recent  []carawaycart.Change // applied last, oldest first; they end at current
 
 	tasks *tasks
 }
@@ -119,6 +119,7 @@
 		return
 	}
 	cf.install(c, now)
+	cf.recent = nil // does not lead up to c
 }
 
 // install makes c the current configuration. cf.mu must be held.
