Recover the change log when the store comes back from a copy

Operators may find that a change which was accepted is gone from the log, and that one made after the store came back from an older copy is in force nowhere: the instances await the revision after the one they run, never look back, and pass over changes that get the revisions of lost ones. From then on the fleet and the log hold different configurations.

Now an instance that watches the store checks before and after each wait that the log holds the change that it applied last. If not, it appends the lost changes that it retains, oldest first. Entries are still only created, so all watchers may do it at once. If nobody wrote meanwhile, the changes get their revisions back; otherwise they follow the other changes, the log ends at a later revision than the fleet's, and all instances load it anew. A lost change stays out if a later one concerns the same object. The check costs a watcher, of which a zone has two, one read before each wait and one after each change.

Still open: an instance that lagged behind when the store lost changes may pass on changes to one that has not loaded the recovered log yet.

--- a/internal/control/configurer.go
+++ b/internal/control/configurer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,7 @@
 
 // Configurer applies the change log in order of revision. In each zone
 // watchersPerZone instances watch the store; the others receive changes from
-// peers.
+// peers. The watchers also recover the log if the store has lost changes.
 type Configurer struct {
 	board        *board.Board
 	memberTable  *member.Table
@@ -98,16 +99,57 @@
 
 // awaitChange waits up to watchTimeout for the change after the current
 // revision and applies it. It reports whether the store answered, with the
-// change or with NotFound if there was none in time.
+// change or with NotFound if there was none in time, and the log leads up to the
+// current configuration.
 func (cf *Configurer) awaitChange(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
+	if !cf.checkLog(ctx) {
+		return false
+	}
 	change, err := cf.log.Await(ctx, cf.board.Revision()+1)
-	if err == nil {
-		cf.ReceiveChange(change, "", cf.clock.Now())
-		return true
+	if err != nil {
+		return errors.Is(err, errors.NotFound)
+	}
+	// The store may have been restored while the call waited.
+	if !cf.checkLog(ctx) {
+		return false
+	}
+	cf.ReceiveChange(change, "", cf.clock.Now())
+	return true
+}
+
+// checkLog reports whether the log holds the change that was applied last. If not,
+// because the store was restored from a copy, it recovers the lost changes, and loads
+// the log anew where it went on without them.
+func (cf *Configurer) checkLog(ctx context.Context) bool {
+	cf.mu.Lock()
+	current, recent := cf.current, slices.Clone(cf.recent)
+	cf.mu.Unlock()
+	held, err := cf.log.Holds(ctx, current.Revision, current.LastID)
+	if err != nil || held {
+		return held
+	}
+	cf.counters.LogMismatches.Inc(1)
+	recovery, err := cf.log.Recover(ctx, recent)
+	if err != nil {
+		klog.V(1).InfoS("recovering the change log failed", "instance", cf.board.Self, "revision", current.Revision, "err", err)
+		return false
+	}
+	if n := len(recovery.Appended); n > 0 {
+		cf.counters.ChangesRecovered.Inc(int64(n))
+		klog.InfoS("change log recovered", "instance", cf.board.Self, "revision", current.Revision, "appended", n)
+	}
+	for _, c := range recovery.Superseded {
+		klog.InfoS("change lost by the store and superseded by another of the same object", "instance", cf.board.Self,
+			"change", c.ID, "kind", c.Kind, "name", c.Name, "operator", c.Operator)
+	}
+	if _, err := cf.log.Change(ctx, current.Revision+1); err == nil {
+		if err := cf.LoadFromStore(ctx); err != nil {
+			klog.V(1).InfoS("loading the recovered change log failed", "instance", cf.board.Self, "err", err)
+		}
 	}
-	return errors.Is(err, errors.NotFound)
+	return false
 }
 
 // Load installs configuration c, received at now, if it is newer than the
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -23,6 +23,8 @@
 	ProbesFailed     metrics.Counter // probes and updates that a peer did not answer
 	ChangesApplied   metrics.Counter // changes of the change log, including the refused
 	ChangesRefused   metrics.Counter // changes that are invalid and were skipped
+	ChangesRecovered metrics.Counter // changes appended again that the store had lost
+	LogMismatches    metrics.Counter // checks that did not find the change applied last in the change log
 	MessagesRefused  metrics.Counter // malformed messages from peers
 	Rejoins          metrics.Counter // pauses after which the instance rejoined the fleet
 
@@ -70,6 +72,8 @@
 		ProbesFailed:      counter("probesFailed"),
 		ChangesApplied:    counter("changesApplied"),
 		ChangesRefused:    counter("changesRefused"),
+		ChangesRecovered:  counter("changesRecovered"),
+		LogMismatches:     counter("logMismatches"),
 		MessagesRefused:   counter("messagesRefused"),
 		Rejoins:           counter("rejoins"),
 		RequestsAnswered:  counter("requestsAnswered"),
--- a/io/platform/changelog.go
+++ b/io/platform/changelog.go
@@ -123,6 +123,75 @@
 	return decodeChange(e, r), nil
 }
 
+// Holds reports whether the log holds the change with the given ID at revision r. It
+// holds the one of revision zero, before the first change.
+func (l *ChangeLog) Holds(ctx context.Context, r carawaycart.Revision, id carawaycart.ChangeID) (bool, error) {
+	if r == 0 {
+		return true, nil
+	}
+	c, err := l.Change(ctx, r)
+	if errors.Is(err, errors.NotFound) {
+		return false, nil
+	}
+	return err == nil && c.ID == id, err
+}
+
+// Recover appends the changes in applied that the log has lost because the store was
+// restored from a copy. applied holds changes that the log once held, in order without
+// gaps. The error is NotFound if it does not go back to the end of the log.
+func (l *ChangeLog) Recover(ctx context.Context, applied []carawaycart.Change) (config.Recovery, error) {
+	n, err := l.countHeld(ctx, applied)
+	if err != nil || n == len(applied) {
+		return config.Recovery{}, err
+	}
+	lost := applied[n:]
+	logged, err := l.changesFrom(ctx, lost[0].Revision)
+	if err != nil {
+		return config.Recovery{}, err
+	}
+	recovery := config.NewRecovery(lost, logged)
+	for _, c := range recovery.Appended {
+		existing, err := l.createEntry(ctx, c)
+		if err != nil {
+			return config.Recovery{}, err
+		}
+		if existing.ID != c.ID {
+			return config.Recovery{}, errors.Errorf("recover change %s: revision %d was taken by change %s", c.ID, c.Revision, existing.ID)
+		}
+	}
+	return recovery, nil
+}
+
+// countHeld returns the number of first changes in applied that the log holds.
+func (l *ChangeLog) countHeld(ctx context.Context, applied []carawaycart.Change) (int, error) {
+	for n := len(applied); n > 0; n-- {
+		held, err := l.Holds(ctx, applied[n-1].Revision, applied[n-1].ID)
+		if err != nil || held {
+			return n, err
+		}
+	}
+	if len(applied) > 0 && applied[0].Revision > 1 {
+		_, err := l.Change(ctx, applied[0].Revision-1)
+		return 0, err
+	}
+	return 0, nil
+}
+
+// changesFrom returns the changes from revision r on up to the first that is missing.
+func (l *ChangeLog) changesFrom(ctx context.Context, r carawaycart.Revision) ([]carawaycart.Change, error) {
+	var changes []carawaycart.Change
+	for ; ; r++ {
+		c, err := l.Change(ctx, r)
+		if errors.Is(err, errors.NotFound) {
+			return changes, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+}
+
 // decodeChange returns the change of revision r, whose entry is e. A corrupt entry
 // becomes a change of an unknown kind, which no configuration applies, so that it
 // occupies its revision without effect.
--- a/io/platform/changelog_test.go
+++ b/io/platform/changelog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -241,3 +242,120 @@
 		}
 	})
 }
+
+// Guards against changes that a restore of the store removes for good, and against a
+// recovered log that instances with the lost changes take for the one they follow.
+func TestRecoverRandomRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := newFakeStore()
+		log := platform.NewChangeLog(store, fixedClock{})
+		appendChanges := func(label string, least int) {
+			for range rapid.IntRange(least, 4).Draw(t, label) {
+				name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "zone")
+				_, _ = log.Append(ctx, zoneEdit(name, rapid.Bool().Draw(t, "out"))) // fails if a concurrent change wins
+			}
+		}
+		appendChanges("before the copy", 0)
+		entries := maps.Clone(store.entries)
+		appendChanges("lost", 1)
+		before, err := log.Changes(ctx, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		retained := before[rapid.IntRange(0, len(entries)).Draw(t, "first retained"):]
+		store.entries = entries
+		appendChanges("after the restore", 0)
+
+		recoverLog := func() (appended int, err error) {
+			// Some instances have not received the last changes.
+			n := rapid.IntRange(1, len(retained)).Draw(t, "applied")
+			recovery, err := log.Recover(ctx, retained[:n])
+			return len(recovery.Appended), err
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "attempts") {
+			switch rapid.IntRange(0, 4).Draw(t, "fault") {
+			case 0:
+				store.loseNextAnswer = true
+			case 1:
+				store.failNextWrite = true
+			case 2:
+				store.beforeWrite = func() { appendChanges("during recovery", 0) }
+			case 3:
+				store.beforeWrite = func() { _, _ = recoverLog() }
+			}
+			_, _ = recoverLog()
+		}
+		store.loseNextAnswer, store.failNextWrite, store.beforeWrite = false, false, nil
+		if _, err := log.Recover(ctx, retained); err != nil {
+			t.Fatal(err)
+		}
+		if recovery, err := log.Recover(ctx, retained); err != nil || len(recovery.Appended) > 0 {
+			t.Fatalf("got %d changes appended again, %v, want none", len(recovery.Appended), err)
+		}
+		after, err := log.Changes(ctx, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkRecovered(t, before, after)
+	})
+}
+
+// checkRecovered checks a log that held the changes before and then, after a restore and
+// its recovery, holds those in after.
+func checkRecovered(t *rapid.T, before, after []carawaycart.Change) {
+	indexes := make(map[carawaycart.ChangeID]int)
+	for i, c := range before {
+		indexes[c.ID] = i
+	}
+	held, changed := make(map[carawaycart.ChangeID]bool), make(map[string]bool)
+	forked := false
+	for i, c := range after {
+		if c.Revision != carawaycart.Revision(i+1) {
+			t.Fatalf("entry %d has revision %d, want consecutive revisions from 1", i, c.Revision)
+		}
+		held[c.ID] = true
+		old, ok := indexes[c.ID]
+		if !ok {
+			changed[c.Name] = true
+		}
+		if forked && ok && old == i {
+			t.Fatalf("revision %d holds the lost change again, although other changes precede it", c.Revision)
+		}
+		if ok && changed[c.Name] {
+			t.Fatalf("revision %d holds a lost change of zone %s after a later one", c.Revision, c.Name)
+		}
+		forked = forked || !ok || old != i
+	}
+	if forked && len(after) <= len(before) || len(after) < len(before) {
+		t.Fatalf("the log ends at revision %d after %d, with other changes: %t", len(after), len(before), forked)
+	}
+	for _, c := range before {
+		if !held[c.ID] && !changed[c.Name] {
+			t.Fatalf("change %s of zone %s is not in the log, and no later one of the zone", c.ID, c.Name)
+		}
+	}
+}
+
+// Guards against a log with a gap, which readers take for its end.
+func TestRecoverLeavesNoGap(t *testing.T) {
+	ctx := context.Background()
+	store := newFakeStore()
+	log := platform.NewChangeLog(store, fixedClock{})
+	for _, name := range []string{"a", "b", "c"} {
+		if _, err := log.Append(ctx, zoneEdit(name, false)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	changes, err := log.Changes(ctx, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clear(store.entries)
+	if _, err := log.Recover(ctx, changes[1:]); !errors.Is(err, errors.NotFound) || len(store.entries) > 0 {
+		t.Errorf("got %d entries, %v, want none, NotFound: the first change is not known", len(store.entries), err)
+	}
+	if _, err := log.Recover(ctx, nil); err != nil {
+		t.Errorf("got %v for no changes, want none", err)
+	}
+}
