Tell a starting instance which ended endpoints are only missing

Cause: peers tell a starting instance which lifetimes have ended, without the reason. Those whose entries are only missing, which the peers forward to and probe, were reset there on their word.

Now the list says which ones are only missing, and how they are reached (absent, address, service, zone, number), so that the starting instance forwards and probes them too. Others, and all that earlier builds tell, end as before.

TestMissingEndpointToldByPeerKeepsItsFlows failed before and passes.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -244,10 +244,10 @@
 // Snapshot is a snapshot of a directory, reduced to what a peer needs whose own
 // directory is complete up to an earlier position.
 type Snapshot struct {
-	At    Position                  // position up to which the snapshot is complete
-	Items []carawaycart.StoreItem   // items written after the peer's position, or all if it is of another era
-	Keys  []string                  // keys of all items
-	Ended []carawaycart.LifetimeKey // recently ended lifetimes, which the store does not list
+	At    Position                // position up to which the snapshot is complete
+	Items []carawaycart.StoreItem // items written after the peer's position, or all if it is of another era
+	Keys  []string                // keys of all items
+	Ended []EndedLifetime         // recently ended lifetimes, which the store does not list
 
 	// Delta replaces Items and Keys if the peer can apply it and the sender knows all
 	// removals after the peer's position. It is nil otherwise.
--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -40,7 +40,7 @@
 )
 
 // TrackedLifetime is a tracked lifetime with its presence. If only a peer has
-// reported the lifetime, Lifetime holds just its key, and WrittenAt and ColdUntil are
+// reported the lifetime, Lifetime is as in EndedLifetime, and WrittenAt and ColdUntil are
 // zero.
 type TrackedLifetime struct {
 	Lifetime carawaycart.Lifetime
@@ -237,29 +237,41 @@
 	return false
 }
 
+// EndedLifetime is a retained lifetime that has ended.
+type EndedLifetime struct {
+	// Lifetime holds only what identifies the endpoint and how it is reached.
+	Lifetime carawaycart.Lifetime
+	Absent   bool // see TrackedLifetime
+}
+
 // EndedLifetimes returns the retained lifetimes that have ended, in no particular
 // order.
-func (t *LifetimeTracker) EndedLifetimes() []carawaycart.LifetimeKey {
-	var keys []carawaycart.LifetimeKey
+func (t *LifetimeTracker) EndedLifetimes() []EndedLifetime {
+	var ended []EndedLifetime
 	for key, s := range t.lifetimes {
-		if s.Presence == Ended {
-			keys = append(keys, key)
+		if s.Presence != Ended {
+			continue
+		}
+		e := EndedLifetime{Lifetime: carawaycart.Lifetime{ID: key.ID, StartedAt: key.StartedAt}, Absent: s.Absent}
+		if l := &s.Lifetime; s.Absent {
+			e.Lifetime.Number, e.Lifetime.Service, e.Lifetime.Zone, e.Lifetime.Address = l.Number, l.Service, l.Zone, l.Address
 		}
+		ended = append(ended, e)
 	}
-	return keys
+	return ended
 }
 
 // RecordEnded records lifetimes that a peer reports as ended, and reports whether
 // any was new. It ignores lifetimes that are already tracked, ended or not.
-func (t *LifetimeTracker) RecordEnded(keys []carawaycart.LifetimeKey, now time.Time) bool {
+func (t *LifetimeTracker) RecordEnded(ended []EndedLifetime, now time.Time) bool {
 	added := false
-	for _, key := range keys {
-		if t.lifetimes[key] != nil {
+	for _, e := range ended {
+		if t.lifetimes[e.Lifetime.Key()] != nil {
 			continue
 		}
 		added = true
-		t.lifetimes[key] = &TrackedLifetime{
-			Lifetime: carawaycart.Lifetime{ID: key.ID, StartedAt: key.StartedAt}, Presence: Ended, Deadline: now.Add(endedRetention),
+		t.lifetimes[e.Lifetime.Key()] = &TrackedLifetime{
+			Lifetime: e.Lifetime, Presence: Ended, Absent: e.Absent, Deadline: now.Add(endedRetention),
 		}
 	}
 	return added
--- a/core/directory/lifetime_tracker_test.go
+++ b/core/directory/lifetime_tracker_test.go
@@ -149,7 +149,7 @@
 	running.ApplyContents(contents(two), start.Add(time.Second))
 	restarted := directory.NewLifetimeTracker()
 	restarted.ApplyContents(contents(two), start.Add(2*time.Second))
-	if !restarted.RecordEnded(append(running.EndedLifetimes(), two.Key()), start.Add(2*time.Second)) {
+	if !restarted.RecordEnded(append(running.EndedLifetimes(), directory.EndedLifetime{Lifetime: carawaycart.Lifetime{ID: two.ID, StartedAt: two.StartedAt}}), start.Add(2*time.Second)) {
 		t.Error("got no lifetime reported as new, want i-1")
 	}
 	if got, ok := presence(restarted, "i-1", 1); !ok || got != directory.Ended {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -292,18 +292,18 @@
 
 // EndedLifetimes returns the lifetimes that have ended recently, which the store does not
 // list.
-func (v *View) EndedLifetimes() []carawaycart.LifetimeKey {
+func (v *View) EndedLifetimes() []directory.EndedLifetime {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.tracker.EndedLifetimes()
 }
 
 // RecordEnded records lifetimes that the peer from reports as ended.
-func (v *View) RecordEnded(keys []carawaycart.LifetimeKey, from string) {
+func (v *View) RecordEnded(ended []directory.EndedLifetime, from string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
-	if v.tracker.RecordEnded(keys, now) {
+	if v.tracker.RecordEnded(ended, now) {
 		v.rebuild(from, now)
 	}
 }
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -12,6 +12,7 @@
 	"carawaycart"
 	"carawaycart/core/directory"
 	"carawaycart/core/steer"
+	"carawaycart/message"
 	"carawaycart/platform"
 )
 
@@ -181,7 +182,9 @@
 		name    string
 		rebuild func(*viewFixture)
 	}{
-		{"ended lifetime of a peer", func(f *viewFixture) { f.RecordEnded([]carawaycart.LifetimeKey{{ID: "i-9", StartedAt: 5}}, "n1") }},
+		{"ended lifetime of a peer", func(f *viewFixture) {
+			f.RecordEnded([]directory.EndedLifetime{{Lifetime: carawaycart.Lifetime{ID: "i-9", StartedAt: 5}}}, "n1")
+		}},
 		{"new settings", func(f *viewFixture) { f.SetLimits(steer.ColdLimits{ColdSlack: 1}) }},
 		{"read that began before", func(f *viewFixture) {
 			f.ApplyRead(platform.RangeResult{Revision: 12, Items: []carawaycart.StoreItem{testItem("op/config", 5, testConfig)}}, f.began.Add(3900*time.Millisecond))
@@ -206,3 +209,31 @@
 	f.read(600*time.Millisecond, 11, testItem("servers/i-1", 11, `{"service":"elsewhere","address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready","cold_left_ms":0,"born":5}`))
 	f.wantNoReset(t, "after its entry was overwritten")
 }
+
+// The entry of an endpoint that runs is missing from the store, and an instance starts.
+// Guards against resetting the flows of the endpoint on the word of a peer that has only
+// missed the entry and forwards them itself, and against forwarding them for ever.
+func TestMissingEndpointToldByPeerKeepsItsFlows(t *testing.T) {
+	peer := newViewFixture(t)
+	peer.read(600*time.Millisecond, 11)
+	if got := peer.request(); got.Verdict != carawaycart.VerdictForward {
+		t.Fatalf("got verdict %d of the peer for %s, want the flow forwarded", got.Verdict, got.Cause)
+	}
+	reply, err := message.FromSnapshot(directory.Snapshot{Ended: peer.EndedLifetimes()}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, err := message.ToSnapshot(reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newViewFixture(t)
+	started := NewView("started", f.limits, f.router, f.clock, nil)
+	f.router.SetTable(nil)
+	started.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{testItem("op/config", 5, testConfig)}}, f.at(time.Second))
+	started.RecordEnded(told.Ended, "peer")
+	if got := f.request(); got.Verdict != carawaycart.VerdictForward || got.Address.String() != "10.0.0.1:80" || got.Number != 1 {
+		t.Errorf("got verdict %d for %s, to %s with number %d, want the packet forwarded", got.Verdict, got.Cause, got.Address, got.Number)
+	}
+	f.wantReset(t, "of an endpoint that does not answer")
+}
--- a/message/directory.go
+++ b/message/directory.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -55,8 +56,8 @@
 	if s.Delta != nil {
 		body = &DirectoryBody{Items: FromItems(s.Delta.Items), FromRevision: uint64(s.Delta.From.Revision), Removed: s.Delta.RemovedKeys}
 	}
-	for _, k := range s.Ended {
-		body.Ended = append(body.Ended, &EndedLifetime{Id: string(k.ID), BornMs: int64(k.StartedAt)})
+	for i := range s.Ended {
+		body.Ended = append(body.Ended, fromEnded(&s.Ended[i]))
 	}
 	data, err := proto.Marshal(body)
 	if err != nil {
@@ -78,6 +79,27 @@
 	}, nil
 }
 
+func fromEnded(e *directory.EndedLifetime) *EndedLifetime {
+	m := &EndedLifetime{Id: string(e.Lifetime.ID), BornMs: int64(e.Lifetime.StartedAt), Absent: e.Absent}
+	if e.Absent {
+		m.Address, m.Service, m.Zone = e.Lifetime.Address.String(), string(e.Lifetime.Service), string(e.Lifetime.Zone)
+		m.Number = uint64(e.Lifetime.Number)
+	}
+	return m
+}
+
+// toEnded returns the lifetime in m. It counts as absent only if its address is valid.
+func toEnded(m *EndedLifetime) directory.EndedLifetime {
+	e := directory.EndedLifetime{Lifetime: carawaycart.Lifetime{ID: carawaycart.EndpointID(m.GetId()), StartedAt: carawaycart.UnixMillis(m.GetBornMs())}}
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if !m.GetAbsent() || err != nil || !address.Addr().Is4() {
+		return e
+	}
+	e.Absent, e.Lifetime.Address, e.Lifetime.Number = true, address, carawaycart.EndpointNumber(m.GetNumber())
+	e.Lifetime.Service, e.Lifetime.Zone = carawaycart.ServiceID(m.GetService()), carawaycart.ZoneID(m.GetZone())
+	return e
+}
+
 // ToSnapshot returns the snapshot in m. The error is NotValid if the body cannot be
 // decompressed or decoded, or exceeds maxBodyBytes.
 func ToSnapshot(m *DirectoryCopy) (directory.Snapshot, error) {
@@ -101,9 +123,7 @@
 		s.Items, s.Keys = ToItems(body.GetItems()), body.GetKeys()
 	}
 	for _, e := range body.GetEnded() {
-		s.Ended = append(s.Ended, carawaycart.LifetimeKey{
-			ID: carawaycart.EndpointID(e.GetId()), StartedAt: carawaycart.UnixMillis(e.GetBornMs()),
-		})
+		s.Ended = append(s.Ended, toEnded(e))
 	}
 	return s, nil
 }
