End lapsed lifetimes also where reads are always far apart

An instance that is cut off from its peers, or not listed yet, may read the store every 1.8 to 2.5 s only.

Now gaps between reads delay the end of a lapsed lifetime by 8 s at most; failures that were seen delay it as before.

TestLapsedLifetimeEndsThoughReadsAreFarApart failed before and passes.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -67,6 +67,7 @@
 type LifetimeTracker struct {
 	lifetimes   map[carawaycart.LifetimeKey]*TrackedLifetime
 	lastFailure time.Time // latest known failure of the store; zero if none
+	lastGap     time.Time // end of the last long time without a read; zero if none
 	lastRead    time.Time // start of the last known read of the store; zero if none
 	// settledAt is when the entries that a restore of the store has removed or replaced
 	// by older ones are written again; zero if there was none.
@@ -84,14 +85,14 @@
 }
 
 // LastFailure returns when the last known failure of the store was, or zero.
-func (t *LifetimeTracker) LastFailure() time.Time { return t.lastFailure }
+func (t *LifetimeTracker) LastFailure() time.Time { return later(t.lastFailure, t.lastGap) }
 
 // RecordRead records at now the result of a read of the store by any instance, which began
 // at began. A long time without a read is a store failure that lasted until now, even if
 // only other instances tried to read.
 func (t *LifetimeTracker) RecordRead(began, now time.Time) {
 	if !t.lastRead.IsZero() && now.Sub(t.lastRead) > minOutage {
-		t.RecordStoreFailure(now)
+		t.lastGap = now
 	}
 	t.lastRead = later(t.lastRead, began)
 }
@@ -183,7 +184,7 @@
 // handleAbsent marks a lifetime whose entry has just disappeared as lapsed if
 // the store failed within the last failureWindow, and as ended otherwise.
 func (t *LifetimeTracker) handleAbsent(s *TrackedLifetime, now time.Time) {
-	if t.lastFailure.IsZero() || now.Sub(t.lastFailure) > failureWindow {
+	if last := t.LastFailure(); last.IsZero() || now.Sub(last) > failureWindow {
 		t.markEnded(s, true, now)
 		return
 	}
@@ -203,7 +204,8 @@
 // Tick ends lapsed lifetimes and removes ended ones whose deadlines have passed.
 // No lapsed lifetime ends within lapsedGrace after a store failure, since its
 // entry cannot reappear while the store fails, nor before a read that began after its
-// deadline.
+// deadline. Gaps between reads delay the end by failureWindow at most, since an instance
+// that is cut off from its peers may always read that rarely.
 func (t *LifetimeTracker) Tick(now time.Time) {
 	readAt := now
 	if !t.lastRead.IsZero() {
@@ -211,7 +213,7 @@
 	}
 	for key, s := range t.lifetimes {
 		switch {
-		case s.Presence == Lapsed && !readAt.Before(later(s.Deadline, t.lastFailure.Add(lapsedGrace))):
+		case s.Presence == Lapsed && !readAt.Before(t.endOfLapse(s)):
 			t.markEnded(s, true, now)
 		case s.Presence == Ended && !now.Before(s.Deadline):
 			delete(t.lifetimes, key)
@@ -219,6 +221,16 @@
 	}
 }
 
+// endOfLapse returns when s, which is lapsed, ends.
+func (t *LifetimeTracker) endOfLapse(s *TrackedLifetime) time.Time {
+	end := later(s.Deadline, t.lastFailure.Add(lapsedGrace))
+	afterGap, latest := t.lastGap.Add(lapsedGrace), s.Deadline.Add(failureWindow)
+	if afterGap.After(latest) {
+		afterGap = latest
+	}
+	return later(end, afterGap)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -133,13 +133,6 @@
 	return uint32(max(now.Sub(failure), 0).Milliseconds()) + 1
 }
 
-// recordTrouble records in the view a failure of the store that a message states, if any.
-func (d *Disseminator) recordTrouble(ms uint32, now time.Time) {
-	if ms > 0 {
-		d.view.RecordStoreFailure(now.Add(-time.Duration(ms-1) * time.Millisecond))
-	}
-}
-
 // send sends update to the given instances. It logs errors and continues with the
 // next instance.
 func (d *Disseminator) send(update *message.DirectoryNews, to []carawaycart.Registration) {
@@ -268,7 +261,9 @@
 		return
 	}
 	began := now.Add(-time.Duration(update.GetAgeMs()) * time.Millisecond)
-	d.recordTrouble(update.GetTroubleMs(), now)
+	if ms := update.GetTroubleMs(); ms > 0 {
+		d.view.RecordStoreFailure(now.Add(-time.Duration(ms-1) * time.Millisecond))
+	}
 	before := d.view.State()
 	delta := message.ToDelta(update)
 	if update.GetPartial() && before.Position.Before(delta.To) || !d.view.ApplyUpdate(delta, update.GetFrom(), began) {
@@ -368,7 +363,9 @@
 	if err == nil {
 		var snapshot directory.Snapshot
 		if snapshot, err = message.ToSnapshot(reply); err == nil && snapshot.At.Revision > 0 {
-			d.recordTrouble(reply.GetTroubleMs(), began)
+			if ms := reply.GetTroubleMs(); ms > 0 {
+				d.view.RecordPastFailure(began.Add(-time.Duration(ms-1) * time.Millisecond))
+			}
 			if d.view.ApplySnapshot(snapshot, name, began.Add(-time.Duration(reply.GetAgeMs())*time.Millisecond)) {
 				return true
 			}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -266,6 +266,14 @@
 	}
 }
 
+// RecordPastFailure records a failure of the store, or a gap between reads, that a peer has
+// told with its snapshot. It is not told to others.
+func (v *View) RecordPastFailure(when time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.tracker.RecordStoreFailure(when)
+}
+
 // RecordFailedRead records that a read by the instance id failed at when. The store may
 // fail for that instance alone.
 func (v *View) RecordFailedRead(id carawaycart.InstanceID, when time.Time) {
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -237,3 +237,16 @@
 	}
 	f.wantReset(t, "of an endpoint that does not answer")
 }
+
+// Reads are regularly 1.8 s apart, as those of an instance that is cut off from its peers.
+// Guards against taking each of them for the end of an outage, so that an endpoint that is
+// gone never ends.
+func TestLapsedLifetimeEndsThoughReadsAreFarApart(t *testing.T) {
+	f := newViewFixture(t)
+	for n := range 10 {
+		f.read(time.Duration(1800*(n+1))*time.Millisecond, carawaycart.StoreRevision(11+n))
+	}
+	if got := f.router.Endpoints(f.clock.Now())[0].Presence; got != directory.Ended {
+		t.Errorf("got presence %d of an endpoint that has been gone for 18 s, want it ended", got)
+	}
+}
