Pass a retained configuration on, whoever it was learned from

Cause: only the instance that had read the restored store itself knew that it retains its configuration; all others had learned it as an item like any other, and left it out of what they tell within the era.

Now an item says that it is retained (retained), also between instances, and stays so until the store has a version that is not lower. One that the copy lacks altogether is kept and passed on too.

TestConfigurationOfPeerOutlivesRestore failed before and passes.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -15,9 +15,6 @@
 type entry struct {
 	item    carawaycart.StoreItem
 	decoded carawaycart.DecodedItem
-	// retained tells that the item holds a configuration which a restore of the store has
-	// removed or replaced by an older one.
-	retained bool
 }
 
 // Directory is a replica of the store's items; it is not safe for concurrent use.
@@ -125,7 +122,7 @@
 		case ok && i.Revision == e.item.Revision && bytes.Equal(i.Value, e.item.Value):
 			continue
 		case e.decoded.Config != nil:
-			e.item.Revision, e.retained = 0, true
+			e.item.Revision, e.item.Retained = 0, true
 			d.items[key] = e
 		default:
 			delete(d.items, key)
@@ -143,7 +140,7 @@
 func (d *Directory) removeAbsent(present map[string]struct{}, revision carawaycart.StoreRevision) []string {
 	var removed []string
 	for key, e := range d.items {
-		if _, ok := present[key]; !ok && !e.retained && e.item.Revision <= revision {
+		if _, ok := present[key]; !ok && !e.item.Retained && e.item.Revision <= revision {
 			delete(d.items, key)
 			removed = append(removed, key)
 		}
@@ -197,7 +194,7 @@
 	}
 	removed := slices.Clone(delta.RemovedKeys)
 	for _, key := range delta.RemovedKeys {
-		if e, ok := d.items[key]; ok && !e.retained && e.item.Revision <= to {
+		if e, ok := d.items[key]; ok && !e.item.Retained && e.item.Revision <= to {
 			delete(d.items, key)
 			d.changes++
 		}
@@ -231,7 +228,7 @@
 	}
 	delta := Delta{From: p, To: d.position}
 	for _, e := range d.items {
-		if e.item.Revision > p.Revision || e.retained {
+		if e.item.Revision > p.Revision || e.item.Retained {
 			delta.Items = append(delta.Items, e.item)
 		}
 	}
@@ -261,7 +258,7 @@
 	s := Snapshot{At: d.position}
 	for key, e := range d.items {
 		s.Keys = append(s.Keys, key)
-		if e.item.Revision > p.Revision || e.retained || p.Era != d.position.Era {
+		if e.item.Revision > p.Revision || e.item.Retained || p.Era != d.position.Era {
 			s.Items = append(s.Items, e.item)
 		}
 	}
@@ -314,8 +311,8 @@
 	}
 	inserted := entry{item: i, decoded: decoded}
 	if isOlderConfig(decoded.Config, stored.decoded.Config) {
-		inserted = entry{item: stored.item, decoded: stored.decoded, retained: true}
-		inserted.item.Revision = i.Revision
+		inserted = stored
+		inserted.item.Revision, inserted.item.Retained = i.Revision, true
 	}
 	d.items[i.Key] = inserted
 	d.changes++
@@ -327,19 +324,19 @@
 	return c != nil && known != nil && c.Version < known.Version
 }
 
-// Retain stores i, which a peer holds, if it holds a newer version of the configuration at
-// the revision of the stored item, and reports whether it did. The peer has then retained
-// a configuration that was in force before the store was restored.
+// Retain stores the configuration in i, which a peer has retained, if it is newer than the
+// stored one, and reports whether it did.
 func (d *Directory) Retain(i carawaycart.StoreItem) bool {
 	stored := d.items[i.Key]
-	if stored.decoded.Config == nil || i.Revision != stored.item.Revision || bytes.Equal(i.Value, stored.item.Value) {
+	if !i.Retained || bytes.Equal(i.Value, stored.item.Value) {
 		return false
 	}
 	decoded, err := d.decode(i)
-	if err != nil || decoded.Config == nil || !isOlderConfig(stored.decoded.Config, decoded.Config) {
+	if err != nil || decoded.Config == nil || stored.decoded.Config != nil && !isOlderConfig(stored.decoded.Config, decoded.Config) {
 		return false
 	}
-	d.items[i.Key] = entry{item: i, decoded: decoded, retained: true}
+	i.Revision = stored.item.Revision
+	d.items[i.Key] = entry{item: i, decoded: decoded}
 	d.changes++
 	return true
 }
--- a/core/directory/restore_test.go
+++ b/core/directory/restore_test.go
@@ -95,6 +95,29 @@
 	}
 }
 
+// Guards against an instance that keeps the configuration from before a restore but does
+// not pass it on, because it learned of the restore from a peer and not from the store.
+func TestConfigurationOfPeerOutlivesRestore(t *testing.T) {
+	for name, copied := range map[string][]carawaycart.StoreItem{"older": {item("config", "7", 8)}, "none": nil} {
+		reader, peer, started := directory.New(decodeConfig), directory.New(decodeConfig), directory.New(decodeConfig)
+		for _, d := range []*directory.Directory{reader, peer} {
+			d.ApplyRead([]carawaycart.StoreItem{item("config", "9", 18)}, inEra(1, 20))
+		}
+		reader.ApplyRead(copied, inEra(2, 12))
+		peer.ApplySnapshot(reader.SnapshotSince(peer.Position()))
+		started.ApplyRead(copied, inEra(2, 12))
+		for _, i := range peer.SnapshotSince(started.Position()).Items {
+			started.Retain(i)
+		}
+		for _, d := range []*directory.Directory{peer, started} {
+			d.ApplyRead(copied, inEra(2, 13))
+			if got := configVersion(d); got != 9 {
+				t.Errorf("%s configuration in the copy: got version %d, want 9, which was confirmed", name, got)
+			}
+		}
+	}
+}
+
 // Whatever directories read and tell each other, and whenever the store is restored and
 // operators write again what it lost, the configuration never goes back to a lower version.
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/lifetime.go
+++ b/lifetime.go
@@ -110,6 +110,9 @@
 	Key      string
 	Value    []byte
 	Revision StoreRevision
+	// Retained tells that Value is a configuration which a restore of the store has removed
+	// or replaced by an older one, and Revision the one that the store gives it, or zero.
+	Retained bool
 }
 
 // DecodedItem is a decoded StoreItem. At most one field is set; none is set if the
--- a/message/directory.go
+++ b/message/directory.go
@@ -22,7 +22,7 @@
 func FromItems(items []carawaycart.StoreItem) []*StoreItem {
 	messages := make([]*StoreItem, len(items))
 	for i, item := range items {
-		messages[i] = &StoreItem{Key: item.Key, Value: item.Value, Revision: uint64(item.Revision)}
+		messages[i] = &StoreItem{Key: item.Key, Value: item.Value, Revision: uint64(item.Revision), Retained: item.Retained}
 	}
 	return messages
 }
@@ -31,7 +31,7 @@
 func ToItems(messages []*StoreItem) []carawaycart.StoreItem {
 	items := make([]carawaycart.StoreItem, len(messages))
 	for i, m := range messages {
-		items[i] = carawaycart.StoreItem{Key: m.GetKey(), Value: m.GetValue(), Revision: carawaycart.StoreRevision(m.GetRevision())}
+		items[i] = carawaycart.StoreItem{Key: m.GetKey(), Value: m.GetValue(), Revision: carawaycart.StoreRevision(m.GetRevision()), Retained: m.GetRetained()}
 	}
 	return items
 }
