Keep endpoints cold over a restore of the store

After a restore a cold endpoint could get more new flows than it bears (FAILBACK): the restored entry may be one from before the endpoint became cold, and each entry of an era counts as newly written, so that its cold time was forgotten.

TestColdEndpointStaysColdAfterRestore failed before and passes.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -172,8 +172,13 @@
 	}
 	if s.WrittenAt != writtenAt {
 		// ColdRemaining counts from when the entry was written. That time is unknown
-		// but no later than now, so ColdUntil may be late but not early.
-		s.ColdUntil = now.Add(l.ColdRemaining)
+		// but no later than now, so ColdUntil may be late but not early. A restored entry
+		// may be from before the endpoint became cold.
+		if now.Before(t.settledAt) {
+			s.ColdUntil = later(s.ColdUntil, now.Add(l.ColdRemaining))
+		} else {
+			s.ColdUntil = now.Add(l.ColdRemaining)
+		}
 		s.WrittenAt = writtenAt
 	}
 	s.heldDraining = !l.Draining && s.Lifetime.Draining && now.Before(t.settledAt)
--- a/core/directory/restore_test.go
+++ b/core/directory/restore_test.go
@@ -253,3 +253,29 @@
 		t.Errorf("got zones %v out for ever, though nobody has written the mark again", got)
 	}
 }
+
+// Guards against more flows than a cold endpoint bears, because the restored entry is one
+// from before it became cold.
+func TestColdEndpointStaysColdAfterRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := directory.NewLifetimeTracker()
+	warm := lifetime("i-1", 1, "10.0.0.1:80")
+	cold := *warm
+	cold.ColdRemaining = 6 * time.Second
+	apply := func(l *carawaycart.Lifetime, at directory.Position) (until time.Time) {
+		c := directory.Contents{
+			Lifetimes: []*carawaycart.Lifetime{l}, Era: at.Era,
+			Revisions: map[carawaycart.LifetimeKey]carawaycart.StoreRevision{l.Key(): at.Revision},
+		}
+		tracker.ApplyContents(&c, now)
+		tracker.ForEach(func(s *directory.TrackedLifetime) { until = s.ColdUntil })
+		return until
+	}
+	apply(warm, inEra(1, 8))
+	coldUntil := apply(&cold, inEra(1, 20)) // the endpoint has become cold since the copy
+	now = now.Add(3 * time.Second)
+	tracker.RecordRestore(now)
+	if got := apply(warm, inEra(2, 8)); got.Before(coldUntil) {
+		t.Errorf("got cold until %v after the restore, want %v", got, coldUntil)
+	}
+}
