Keep instances listed over a restore of the store

After a restore a cold endpoint could get several times the new flows that it bears (FAILBACK), and instances were left out of updates for a second or two: registrations written since the copy were missing, so that each instance took the shares of the others, and did not send them what it read.

Now instances count as listed for 8 s at most, as zones stay out, until they have registered again; whether they have to is told by the store alone.

--- a/core/directory/restore_test.go
+++ b/core/directory/restore_test.go
@@ -230,7 +230,7 @@
 // Guards against sending to the endpoints of a zone that operators have taken out.
 func TestZoneStaysOutAfterRestore(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var tracker directory.ZoneTracker
+	var tracker directory.Retention
 	apply := func(listed ...carawaycart.ZoneID) []carawaycart.ZoneID {
 		c := directory.Contents{ZonesOut: listed}
 		tracker.ApplyContents(&c, now)
--- a/internal/edge/registrar.go
+++ b/internal/edge/registrar.go
@@ -135,9 +135,9 @@
 // due returns the entries to write at now, and discards requests for entries that
 // are listed already.
 func (g *Registrar) due(state *State, now time.Time) []carawaycart.Registration {
-	g.requested = slices.DeleteFunc(g.requested, func(r carawaycart.Registration) bool { return slices.Contains(state.Instances, r) })
+	g.requested = slices.DeleteFunc(g.requested, func(r carawaycart.Registration) bool { return slices.Contains(state.Registered, r) })
 	var due []carawaycart.Registration
-	if !slices.Contains(state.Instances, g.own) && !now.Before(g.retryAt) {
+	if !slices.Contains(state.Registered, g.own) && !now.Before(g.retryAt) {
 		due = append(due, g.own)
 	}
 	if len(g.requested) > 0 && !now.Before(g.gatherUntil) {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -33,7 +33,8 @@
 	mu             sync.Mutex
 	directory      *directory.Directory
 	tracker        *directory.LifetimeTracker // presence of each lifetime
-	zones          directory.ZoneTracker      // zones out of service
+	retention      directory.Retention        // keeps what a restore of the store has removed
+	registered     []carawaycart.Registration // instances listed in the store
 	contents       directory.Contents
 	operatorConfig *config.Configuration // set by operators with the carawaycart commands
 	lost           lostChanges
@@ -74,7 +75,8 @@
 	LastFailure  time.Time                  // last known store failure of any kind; zero if none
 	FailedReads  directory.FailedReads      // failed reads by this instance and its peers
 	ItemsRefused int                        // items received so far that could not be decoded
-	Instances    []carawaycart.Registration // instances listed in the store
+	Instances    []carawaycart.Registration // instances listed in the store, now or before a restore
+	Registered   []carawaycart.Registration // instances listed in the store now
 	Renewed      <-chan struct{}            // closed when LastReadAt advances
 }
 
@@ -84,7 +86,8 @@
 	defer v.mu.Unlock()
 	return State{
 		Position: v.directory.Position(), LastReadAt: v.lastReadAt, StoreFailure: v.storeFailure, LastFailure: v.tracker.LastFailure(),
-		FailedReads: v.failedReads.Clone(), ItemsRefused: v.directory.DecodeFailures(), Instances: v.contents.Instances, Renewed: v.renewed,
+		FailedReads: v.failedReads.Clone(), ItemsRefused: v.directory.DecodeFailures(), Instances: v.contents.Instances, Registered: v.registered,
+		Renewed: v.renewed,
 	}
 }
 
@@ -175,7 +178,7 @@
 	now := v.clock.Now()
 	v.recordStoreFailure(now)
 	v.tracker.RecordRestore(now)
-	v.zones.RecordRestore(now)
+	v.retention.RecordRestore(now)
 	v.log.Event("storeRestored").Int("era", int64(after.Era)).Int("revision", int64(after.Revision)).
 		Int("eraBefore", int64(before.Era)).Int("revisionBefore", int64(before.Revision)).Text("source", source).End()
 }
@@ -199,8 +202,8 @@
 
 // recordRead records that the directory is complete up to a read of the store that
 // began at began. It rebuilds the router's table if the directory has changed, or
-// if time alone may change a lifetime or zone. The source is the peer that sent the read,
-// or "store". v.mu must be held.
+// if time alone may change a lifetime or what is retained. The source is the peer that
+// sent the read, or "store". v.mu must be held.
 func (v *View) recordRead(began time.Time, source string, changed bool) {
 	now := v.clock.Now()
 	v.tracker.RecordRead(began, now)
@@ -210,7 +213,7 @@
 		close(v.renewed)
 		v.renewed = make(chan struct{})
 	}
-	if changed || v.tracker.MayChange() || v.zones.MayChange() {
+	if changed || v.tracker.MayChange() || v.retention.MayChange() {
 		v.rebuild(source, now)
 	}
 }
@@ -238,7 +241,8 @@
 		v.operatorConfig = operatorConfig
 	}
 	profiles := applyOperatorConfig(&v.contents, v.operatorConfig)
-	v.zones.ApplyContents(&v.contents, now)
+	v.registered = v.contents.Instances
+	v.retention.ApplyContents(&v.contents, now)
 	v.tracker.ApplyContents(&v.contents, now)
 	table := steer.NewTable(&steer.Input{
 		Contents: v.contents, Revision: v.directory.Position().Revision, Lifetimes: v.tracker, Self: v.self, Limits: v.limits, Profiles: profiles,
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -250,3 +251,42 @@
 		t.Errorf("got presence %d of an endpoint that has been gone for 18 s, want it ended", got)
 	}
 }
+
+// Guards against more flows than a cold endpoint bears, because each instance takes the
+// share of those whose registrations a restore has removed too.
+func TestColdShareDoesNotGrowByRestore(t *testing.T) {
+	clock := &manualClock{}
+	clock.set(time.Unix(1000, 0))
+	counters := NewCounters()
+	r := steer.NewRouter("a", rand.NewPCG(1, 1), &observer{counters: counters, prober: NewProber(clock, counters, nil)})
+	v := NewView("self", steer.ColdLimits{ColdOverrun: 1}, r, clock, nil)
+	config := strings.Replace(testConfig, `"cold_per_s":4`, `"cold_per_s":40`, 1)
+	entry := strings.Replace(testEntry, `"cold_left_ms":0`, `"cold_left_ms":20000`, 1)
+	items := []carawaycart.StoreItem{testItem("op/config", 5, config), testItem("servers/i-1", 9, entry)}
+	registrations := testItem("carawaycart/instances/n1-7", 12, `{"instances":[`+
+		`{"id":"self","zone":"a","peerAddress":"10.0.0.9:1"},{"id":"n1","zone":"a","peerAddress":"10.0.0.10:1"},`+
+		`{"id":"n2","zone":"a","peerAddress":"10.0.0.11:1"},{"id":"n3","zone":"a","peerAddress":"10.0.0.12:1"}]}`)
+	port := uint16(1024)
+	flows := func() (n int) {
+		for range 100 {
+			port++
+			d := r.Decide(&carawaycart.Packet{
+				Kind: carawaycart.PacketFirst,
+				Key: carawaycart.FlowKey{
+					Caller: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), port), Service: netip.MustParseAddrPort("198.18.0.1:8443"), Protocol: carawaycart.TCP,
+				},
+			}, clock.Now())
+			if d.Verdict == carawaycart.VerdictForward {
+				n++
+			}
+		}
+		return n
+	}
+	v.ApplyRead(platform.RangeResult{Era: 1, Revision: 20, Items: append(items[:2:2], registrations)}, clock.Now())
+	before := flows()
+	clock.set(clock.Now().Add(2 * time.Second))
+	v.ApplyRead(platform.RangeResult{Era: 2, Revision: 10, Items: items}, clock.Now())
+	if got := flows(); got > before {
+		t.Errorf("got %d flows in a second after the restore, want at most %d, the share of one of four instances", got, before)
+	}
+}
