Do not let an ended lifetime lapse

Now only a lifetime that has not ended can be contested. TestEndedLifetimeDoesNotLapse failed before and passes.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -140,7 +140,7 @@
 		case s.Presence == Present || s.contested:
 			t.handleAbsent(s, now)
 		}
-		s.contested = listed && startedAt == key.StartedAt && reassigned || c.Unconfigured[key.ID]
+		s.contested = s.Presence != Ended && (listed && startedAt == key.StartedAt && reassigned || c.Unconfigured[key.ID])
 	}
 	t.endSuperseded(now)
 	t.Tick(now)
--- a/core/directory/lifetime_tracker_test.go
+++ b/core/directory/lifetime_tracker_test.go
@@ -203,3 +203,19 @@
 		t.Errorf("got presence %d (tracked %t) 1 s after the store failed, want it not ended", got, ok)
 	}
 }
+
+// An endpoint has ended, and an entry of another writer under its ID comes and goes in an
+// outage of the store. Guards against new flows to the endpoint.
+func TestEndedLifetimeDoesNotLapse(t *testing.T) {
+	tracker := directory.NewLifetimeTracker()
+	tracker.ApplyContents(contents(lifetime("i-1", 1, "10.0.0.1:80")), start)
+	tracker.ApplyContents(contents(), start.Add(time.Second))
+	foreign := contents()
+	foreign.Unconfigured = map[carawaycart.EndpointID]bool{"i-1": true}
+	tracker.ApplyContents(foreign, start.Add(2*time.Second))
+	tracker.RecordStoreFailure(start.Add(3 * time.Second))
+	tracker.ApplyContents(contents(), start.Add(4*time.Second))
+	if got, _ := presence(tracker, "i-1", 1); got != directory.Ended {
+		t.Errorf("got presence %d, want the lifetime to stay ended", got)
+	}
+}
