--- a/core/directory/doc.go
+++ b/core/directory/doc.go
@@ -7,8 +7,14 @@
 // by a read, delta or snapshot that is complete at the item's revision or a later
 // one.
 //
+// A store that is restored from a copy gives revisions out again. Revisions are therefore
+// ordered within an era of the store only; a Position is an era and a revision in it. The
+// first read or snapshot of a later era replaces the replica. A Retention, the tracker below
+// and the version of the routing configuration keep what the copy lacks until it is
+// written again.
+//
 // A LifetimeTracker determines what the absence of an endpoint's entry means. If
-// the entry disappears while the store answers, the endpoint has ended. If it
-// disappears shortly after a store failure, it may only have lapsed: its endpoint
-// may still be running, and then the entry reappears within a few seconds.
+// the entry disappears while the store answers, the endpoint has ended, as far as the
+// store tells. If it disappears shortly after a store failure, it may only have lapsed:
+// its endpoint may still be running, and then the entry reappears within a few seconds.
 package directory
