Give the services of the review loopback addresses

The routes of the cases stood at addresses of 198.18.0.0/15, which only packets carried; every address in a case has to be a loopback address.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -23,9 +23,9 @@
 }
 
 var (
-	feedAddr   = netip.MustParseAddrPort("198.18.0.1:8443")
-	orderAddr  = netip.MustParseAddrPort("198.18.0.1:8080")
-	uploadAddr = netip.MustParseAddrPort("198.18.0.2:8443")
+	feedAddr   = netip.MustParseAddrPort("127.255.0.1:8443")
+	orderAddr  = netip.MustParseAddrPort("127.255.0.1:8080")
+	uploadAddr = netip.MustParseAddrPort("127.255.0.2:8443")
 )
 
 // between returns a function that draws times between a and b.
