--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -188,7 +188,7 @@
 				return err
 			}
 		}
-		time.Sleep(6 * time.Second)
+		time.Sleep(between(5*time.Second, 6200*time.Millisecond)())
 	}
 	return nil
 }
