Leave flows of an endpoint that has started again to the endpoint

Cause: the token of a flow names a lifetime and was taken for proof of where the flow is open. An endpoint that starts again under its ID takes the first packets that instances send it with the token of its former lifetime, until the fleet has read its new entry, up to 0.6 s later. From then on each packet of these flows was answered with a reset, though the endpoint held them.

Change: a packet with the token of an ended lifetime is forwarded to the latest lifetime of the same ID, address and service; the reset is decided by that one's end or silence. What it leaves unanswered is not held against it, since it may not hold the flow; it resets such a flow itself. Ended lifetimes are told to starting instances with address and service, which they need for the same decision. Restarted at another address or with another service: reset as before, as no flow can have been opened there by the old token.

Ruled out: comparing the time of the first packet with the start (clocks differ, one instance has seen it), records of flows (any instance may get the packet).

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -269,11 +269,10 @@
 		if s.Presence != Ended {
 			continue
 		}
-		e := EndedLifetime{Lifetime: carawaycart.Lifetime{ID: key.ID, StartedAt: key.StartedAt}, Absent: s.Absent}
-		if l := &s.Lifetime; s.Absent {
-			e.Lifetime.Number, e.Lifetime.Service, e.Lifetime.Zone, e.Lifetime.Address = l.Number, l.Service, l.Zone, l.Address
-		}
-		ended = append(ended, e)
+		l := &s.Lifetime
+		ended = append(ended, EndedLifetime{Absent: s.Absent, Lifetime: carawaycart.Lifetime{
+			ID: key.ID, StartedAt: key.StartedAt, Number: l.Number, Service: l.Service, Zone: l.Zone, Address: l.Address,
+		}})
 	}
 	return ended
 }
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -23,6 +23,18 @@
 	warmupUntil         time.Time
 	zoneReturnColdUntil time.Time // end of zoneReturnColdPeriod; zero if the zone was never out
 	state               *state
+	// successor is the latest lifetime of the endpoint, if this one has ended and flows with
+	// its token may be open there; nil otherwise.
+	successor *endpoint
+}
+
+// succeeds reports whether flows with the token of old may be open at e. The endpoint has
+// started again, and instances that did not know it yet have opened flows at its address
+// with the token of the lifetime before. An endpoint does not tell its lifetimes apart by
+// packets, and resets flows that it does not hold itself.
+func (e *endpoint) succeeds(old *endpoint) bool {
+	l, before := &e.lifetime, &old.lifetime
+	return l.ID == before.ID && l.StartedAt > before.StartedAt && l.Address == before.Address && l.Service == before.Service
 }
 
 // zoneReturnColdPeriod is the minimum time for which endpoints count as cold once their
--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -25,6 +25,7 @@
 	refused         map[carawaycart.Cause]int
 	hedged          int
 	avoided         int
+	inherited       int
 	probeRequests   []carawaycart.EndpointID
 	silentEndpoints map[carawaycart.EndpointID]bool
 	failing         []steer.Outcomes
@@ -45,6 +46,10 @@
 func (e *events) Refused(_ *carawaycart.Packet, c carawaycart.Cause, _ bool, _ carawaycart.StoreRevision) {
 	e.refused[c]++
 }
+
+func (e *events) Inherited(*carawaycart.Packet, *carawaycart.Lifetime, *carawaycart.Lifetime) {
+	e.inherited++
+}
 func (e *events) Avoided(carawaycart.EndpointID, string, time.Duration) { e.avoided++ }
 func (e *events) ProbeRequested(l *carawaycart.Lifetime) {
 	e.probeRequests = append(e.probeRequests, l.ID)
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -39,6 +39,9 @@
 	// if reset is true. The revision is that of the table, zero if it has no
 	// routing configuration.
 	Refused(p *carawaycart.Packet, c carawaycart.Cause, reset bool, revision carawaycart.StoreRevision)
+	// Inherited is called when a packet with the token of before, which has ended, is
+	// forwarded to after, the latest lifetime of the same endpoint.
+	Inherited(p *carawaycart.Packet, before, after *carawaycart.Lifetime)
 	// Avoided is called when an endpoint is avoided for period because it did not
 	// answer a packet. The packet is a first packet if what is "first", or data if what
 	// is "data".
@@ -122,7 +125,9 @@
 // route that the table does not have yet, so open flows are reset only if their route was
 // removed. A flow that sends data to a silent endpoint is reset only if data on an open
 // flow was left unanswered too, and if the requests of the route may run more than once,
-// since a reset does not tell the caller whether its request was run.
+// since a reset does not tell the caller whether its request was run. A flow with the token
+// of an earlier lifetime is left to the endpoint if that has started again: the flow may have
+// been opened since.
 func (r *Router) Decide(p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	t := r.table.Load()
 	if !t.HasConfig() {
@@ -136,21 +141,41 @@
 	if p.Kind == carawaycart.PacketFirst {
 		return r.decideFirst(t, route, id, p, now)
 	}
-	e := t.byToken[p.Token]
-	switch {
-	case e == nil:
+	owner := t.byToken[p.Token]
+	if owner == nil {
 		return r.refuse(p, carawaycart.CauseUnknownToken, false, t.Revision)
+	}
+	e := owner
+	if owner.successor != nil {
+		e = owner.successor
+	}
+	switch {
 	case r.hasEnded(e, now):
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
 	case route == nil:
 		return forward(e)
 	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now) && (e.state.isDead(now) || r.isResent(id, p, e, now)):
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
+	case e != owner:
+		return r.forwardInherited(id, p, owner, e)
 	}
 	r.trackPacket(id, p, route, e, now)
 	return forward(e)
 }
 
+// forwardInherited returns the decision to forward p, a packet of the flow id with the token
+// of owner, to e, which succeeds it. Whether e holds the flow is unknown, so that a missing
+// answer says nothing of e: the flow is no longer tracked.
+func (r *Router) forwardInherited(id flowID, p *carawaycart.Packet, owner, e *endpoint) carawaycart.Decision {
+	s := r.flows.lockShard(id)
+	if f := s.flows[id]; f != nil && e.succeeds(f.endpoint) {
+		s.remove(id, f)
+	}
+	s.mu.Unlock()
+	r.observer.Inherited(p, &owner.lifetime, &e.lifetime)
+	return forward(e)
+}
+
 func forward(e *endpoint) carawaycart.Decision {
 	return carawaycart.Decision{
 		Verdict: carawaycart.VerdictForward, Endpoint: e.lifetime.ID, Zone: e.lifetime.Zone,
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -161,6 +161,22 @@
 	for key, token := range tokens {
 		t.byKey[key].token = token
 	}
+	t.linkSuccessors()
+}
+
+// linkSuccessors sets the successors of the endpoints that have ended.
+func (t *Table) linkSuccessors() {
+	latest := make(map[carawaycart.EndpointID]*endpoint, len(t.byKey))
+	for _, e := range t.byKey {
+		if l := latest[e.lifetime.ID]; l == nil || l.lifetime.StartedAt < e.lifetime.StartedAt {
+			latest[e.lifetime.ID] = e
+		}
+	}
+	for _, e := range t.byKey {
+		if l := latest[e.lifetime.ID]; e.presence == directory.Ended && l.succeeds(e) {
+			e.successor = l
+		}
+	}
 }
 
 // zoneReturned reports whether zone is out in previous but not in t.
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -40,6 +40,12 @@
 		Int("token", int64(p.Token)).Int("revision", int64(r)).End()
 }
 
+// Inherited logs that a packet of a flow is forwarded to a later lifetime of its endpoint.
+func (o *observer) Inherited(p *carawaycart.Packet, before, after *carawaycart.Lifetime) {
+	o.log.Event("inherited").Flow(&p.Key).Text("endpoint", string(after.ID)).Int("token", int64(p.Token)).
+		Int("bornBefore", int64(before.StartedAt)).Int("born", int64(after.StartedAt)).End()
+}
+
 // Avoided logs that an endpoint is avoided for period because it left a packet
 // unanswered: a first packet if what is "first", data if it is "data".
 func (o *observer) Avoided(e carawaycart.EndpointID, what string, period time.Duration) {
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -290,3 +290,30 @@
 		t.Errorf("got %d flows in a second after the restore, want at most %d, the share of one of four instances", got, before)
 	}
 }
+
+// An endpoint has started again under its ID, and then an instance starts. Guards against
+// resetting flows that were opened with the token of the former lifetime, which only a peer
+// knows, before the restart was noticed.
+func TestRestartedEndpointToldByPeerKeepsItsFlows(t *testing.T) {
+	restarted := strings.Replace(testEntry, `"born":5`, `"born":6`, 1)
+	peer := newViewFixture(t)
+	peer.read(600*time.Millisecond, 11, testItem("servers/i-1", 11, restarted))
+	reply, err := message.FromSnapshot(directory.Snapshot{Ended: peer.EndedLifetimes()}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told, err := message.ToSnapshot(reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newViewFixture(t)
+	started := NewView("started", f.limits, f.router, f.clock, nil)
+	f.router.SetTable(nil)
+	started.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{
+		testItem("op/config", 5, testConfig), testItem("servers/i-1", 11, restarted),
+	}}, f.at(time.Second))
+	started.RecordEnded(told.Ended, "peer")
+	if got := f.request(); got.Verdict != carawaycart.VerdictForward || got.Address.String() != "10.0.0.1:80" || got.Number != 1 {
+		t.Errorf("got verdict %d for %s, to %s with number %d, want the packet forwarded", got.Verdict, got.Cause, got.Address, got.Number)
+	}
+}
--- a/message/directory.go
+++ b/message/directory.go
@@ -81,7 +81,7 @@
 
 func fromEnded(e *directory.EndedLifetime) *EndedLifetime {
 	m := &EndedLifetime{Id: string(e.Lifetime.ID), BornMs: int64(e.Lifetime.StartedAt), Absent: e.Absent}
-	if e.Absent {
+	if e.Lifetime.Address.IsValid() {
 		m.Address, m.Service, m.Zone = e.Lifetime.Address.String(), string(e.Lifetime.Service), string(e.Lifetime.Zone)
 		m.Number = uint64(e.Lifetime.Number)
 	}
@@ -92,10 +92,10 @@
 func toEnded(m *EndedLifetime) directory.EndedLifetime {
 	e := directory.EndedLifetime{Lifetime: carawaycart.Lifetime{ID: carawaycart.EndpointID(m.GetId()), StartedAt: carawaycart.UnixMillis(m.GetBornMs())}}
 	address, err := netip.ParseAddrPort(m.GetAddress())
-	if !m.GetAbsent() || err != nil || !address.Addr().Is4() {
+	if err != nil || !address.Addr().Is4() {
 		return e
 	}
-	e.Absent, e.Lifetime.Address, e.Lifetime.Number = true, address, carawaycart.EndpointNumber(m.GetNumber())
+	e.Absent, e.Lifetime.Address, e.Lifetime.Number = m.GetAbsent(), address, carawaycart.EndpointNumber(m.GetNumber())
 	e.Lifetime.Service, e.Lifetime.Zone = carawaycart.ServiceID(m.GetService()), carawaycart.ZoneID(m.GetZone())
 	return e
 }
