Record zones that are out where starting instances see it

Cause: that a zone has just returned, so that its endpoints may have become cold since they wrote their entries, was known only as a difference between two tables of one process. An instance that started as the zone returned, or was frozen while it was out, took the zone's endpoints for warm.

Change: whoever reads the store records a zone that is out as an item of the fleet, and removes the record 3 s after the operators' mark has gone. A record without a mark that is new to a process means that the zone has just returned. directory.ZoneReturns decides both; the time for which a zone's endpoints count as cold belongs to the zone, so that it also holds for endpoints that are first seen meanwhile.

Ruled out: all endpoints cold for 3 s after each start (refuses most flows after a loss of all instances), peers (may all have started too), the store's history (may be discarded).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -350,12 +350,15 @@
 // Contents holds all items in decoded form; the slices are in order of the
 // items' keys.
 type Contents struct {
-	Config    *carawaycart.RouteConfig // nil if the store has none
-	ZonesOut  []carawaycart.ZoneID     // zones that operators have taken out
-	Lifetimes []*carawaycart.Lifetime
-	Revisions map[carawaycart.LifetimeKey]carawaycart.StoreRevision // revisions of the lifetimes' items, of Era
-	Era       carawaycart.StoreEra
-	Instances []carawaycart.Registration
+	Config   *carawaycart.RouteConfig // nil if the store has none
+	ZonesOut []carawaycart.ZoneID     // zones that operators have taken out
+	// ZoneMarks and ZoneRecords hold the revisions of the operators' marks of zones that are
+	// out, and of the fleet's records of them; see ZoneReturns.
+	ZoneMarks, ZoneRecords map[carawaycart.ZoneID]carawaycart.StoreRevision
+	Lifetimes              []*carawaycart.Lifetime
+	Revisions              map[carawaycart.LifetimeKey]carawaycart.StoreRevision // revisions of the lifetimes' items, of Era
+	Era                    carawaycart.StoreEra
+	Instances              []carawaycart.Registration
 
 	// Unconfigured holds the endpoints whose entries name services that Config does not.
 	Unconfigured map[carawaycart.EndpointID]bool
@@ -370,7 +373,10 @@
 		keys = append(keys, key)
 	}
 	slices.Sort(keys)
-	c := Contents{Revisions: make(map[carawaycart.LifetimeKey]carawaycart.StoreRevision), Era: d.position.Era}
+	c := Contents{
+		Revisions: make(map[carawaycart.LifetimeKey]carawaycart.StoreRevision), Era: d.position.Era,
+		ZoneMarks: make(map[carawaycart.ZoneID]carawaycart.StoreRevision), ZoneRecords: make(map[carawaycart.ZoneID]carawaycart.StoreRevision),
+	}
 	for _, key := range keys {
 		e := d.items[key]
 		switch r := e.decoded; {
@@ -378,6 +384,9 @@
 			c.Config = r.Config
 		case r.ZoneOut != "":
 			c.ZonesOut = append(c.ZonesOut, r.ZoneOut)
+			c.ZoneMarks[r.ZoneOut] = e.item.Revision
+		case r.ZoneRecord != "":
+			c.ZoneRecords[r.ZoneRecord] = e.item.Revision
 		case r.Lifetime != nil:
 			c.Lifetimes = append(c.Lifetimes, r.Lifetime)
 			c.Revisions[r.Lifetime.Key()] = e.item.Revision
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -20,9 +20,8 @@
 	coldShare placement.ColdShare // zero if the endpoint was warm when the table was built
 	// warmupUntil is the end of the warm-up after the cold time, during which other
 	// endpoints are preferred. It is zero without a profile.
-	warmupUntil         time.Time
-	zoneReturnColdUntil time.Time // end of zoneReturnColdPeriod; zero if the zone was never out
-	state               *state
+	warmupUntil time.Time
+	state       *state
 	// successor is the latest lifetime of the endpoint, if this one has ended and flows with
 	// its token may be open there; nil otherwise.
 	successor *endpoint
@@ -37,27 +36,18 @@
 	return l.ID == before.ID && l.StartedAt > before.StartedAt && l.Address == before.Address && l.Service == before.Service
 }
 
-// zoneReturnColdPeriod is the minimum time for which endpoints count as cold once their
-// zone, which was out, takes new flows again. Their entries in the store may be
-// outdated by a heartbeat of the endpoint and a read of the instance, and so not yet
-// say that the endpoints have become cold.
-const zoneReturnColdPeriod = 3 * time.Second
-
-// newEndpoint returns the endpoint for the lifetime s at now. The argument previous is
-// the endpoint of the same lifetime in the preceding table, or nil, and returned tells
-// whether its zone was out in that table and no longer is.
-func newEndpoint(s *directory.TrackedLifetime, previous *endpoint, returned bool, now time.Time) *endpoint {
+// newEndpoint returns the endpoint for the lifetime s, whose zone makes it cold until
+// zoneColdUntil. The argument previous is the endpoint of the same lifetime in the preceding
+// table, or nil.
+func newEndpoint(s *directory.TrackedLifetime, previous *endpoint, zoneColdUntil time.Time) *endpoint {
 	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, absent: s.Absent, coldUntil: s.ColdUntil}
 	if previous != nil {
-		e.state, e.zoneReturnColdUntil = previous.state, previous.zoneReturnColdUntil
+		e.state = previous.state
 	} else {
 		e.state = &state{}
 	}
-	if returned {
-		e.zoneReturnColdUntil = now.Add(zoneReturnColdPeriod)
-	}
-	if e.zoneReturnColdUntil.After(e.coldUntil) {
-		e.coldUntil = e.zoneReturnColdUntil
+	if zoneColdUntil.After(e.coldUntil) {
+		e.coldUntil = zoneColdUntil
 	}
 	return e
 }
--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -69,6 +69,7 @@
 type fleet struct {
 	contents  directory.Contents
 	lifetimes *directory.LifetimeTracker
+	returns   directory.ZoneReturns
 	revision  carawaycart.StoreRevision
 	zones     []carawaycart.ZoneID
 	routers   []*steer.Router
@@ -121,6 +122,7 @@
 func (f *fleet) update(now time.Time) {
 	f.revision++
 	f.lifetimes.ApplyContents(&f.contents, now)
+	f.returns.ApplyContents(&f.contents, now)
 	for i := range f.routers {
 		f.setTable(i, f.contents.Instances, now)
 	}
@@ -132,7 +134,7 @@
 	c := f.contents
 	c.Instances = members
 	f.routers[i].SetTable(steer.NewTable(&steer.Input{
-		Contents: c, Revision: f.revision, Lifetimes: f.lifetimes, Self: f.contents.Instances[i].ID,
+		Contents: c, Revision: f.revision, Lifetimes: f.lifetimes, ZonesColdUntil: f.returns.ColdUntil(), Self: f.contents.Instances[i].ID,
 		Limits: steer.ColdLimits{ColdOverrun: 1.5, ColdSlack: 5},
 	}, f.routers[i].Table(), now))
 }
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -67,7 +67,9 @@
 	Lifetimes *directory.LifetimeTracker // lifetimes, including lapsed and ended ones
 	Self      carawaycart.InstanceID     // instance that the table is built for
 	Limits    ColdLimits
-	Profiles  map[carawaycart.ServiceID]carawaycart.Profile // profiles by service, for services that have one
+	// ZonesColdUntil tells until when all endpoints of a zone count as cold.
+	ZonesColdUntil map[carawaycart.ZoneID]time.Time
+	Profiles       map[carawaycart.ServiceID]carawaycart.Profile // profiles by service, for services that have one
 }
 
 // NewTable returns the table that is built from in at now. Endpoints and admissions
@@ -143,7 +145,7 @@
 		if previous != nil {
 			old = previous.byKey[key]
 		}
-		e := newEndpoint(s, old, t.zoneReturned(previous, s.Lifetime.Zone), now)
+		e := newEndpoint(s, old, in.ZonesColdUntil[s.Lifetime.Zone])
 		profile, ok := in.Profiles[s.Lifetime.Service]
 		if ok {
 			e.warmupUntil = e.coldUntil.Add(profile.WarmupSeconds.Duration())
@@ -179,11 +181,6 @@
 	}
 }
 
-// zoneReturned reports whether zone is out in previous but not in t.
-func (t *Table) zoneReturned(previous *Table, zone carawaycart.ZoneID) bool {
-	return previous != nil && previous.zonesOut[zone] && !t.zonesOut[zone]
-}
-
 // coldShare returns the share of instance in.Self of the new flows of the cold endpoint
 // with the given key. Members are ranked by rendezvous hashing, so that they agree on
 // their ranks and the rank of each varies with the endpoint. A profile without a name
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -188,6 +188,25 @@
 		Int("missing", int64(len(delta.RemovedKeys))).Millis("tookMs", now.Sub(began)).End()
 	r.disseminator.Broadcast(delta, began)
 	r.rewriteLost(callCtx)
+	r.recordZones(callCtx)
+}
+
+// recordZones changes the records of zones that are out, or were, so that instances that
+// start while a zone returns learn of it. A change that fails is due again with the next
+// read.
+func (r *Reader) recordZones(ctx context.Context) {
+	for _, c := range r.view.DueZoneRecords() {
+		key := platform.ZoneRecordKey(c.Zone)
+		var done bool
+		var err error
+		if c.Remove {
+			done, err = r.store.CompareAndDelete(ctx, key, carawaycart.StoreIndex(c.Expected))
+		} else {
+			done, err = r.store.CompareAndSwap(ctx, key, []byte("{}"), carawaycart.StoreIndex(c.Expected))
+		}
+		r.log.Event("zoneRecorded").Text("zone", string(c.Zone)).Bool("removed", c.Remove).Bool("done", done).
+			Int("revision", int64(c.Expected)).Err(err).End()
+	}
 }
 
 // isClosed reports whether err results from the use of a closed connection.
--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"carawaycart/platform"
 )
 
 // Endpoints start again under their IDs, one after the other, under load. Guards against
@@ -23,3 +25,33 @@
 		t.Errorf("got %d open flows reset by instances, want none", n)
 	}
 }
+
+// The endpoints of a zone that is out become cold, and all instances start again as it
+// returns, before the entries tell. Guards against taking the endpoints for warm, and against
+// a record of the zone that stays in the store.
+func TestInstancesThatStartAsZoneReturnsHoldItsEndpointsCold(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 2)
+	f.BeginLoad(1, 60)
+	f.awaitRequests(t, 100)
+	f.SetZoneInService("b", false)
+	key := platform.ZoneRecordKey("b")
+	f.await(t, "the zone is recorded as out", func() bool { return f.Store.Has(key) })
+	f.awaitRequests(t, 100)
+	for _, i := range f.instances {
+		f.kill(i)
+	}
+	f.RecordDisturbance()
+	for _, e := range f.Endpoints {
+		if e.Zone == "b" {
+			e.TurnCold(2*time.Second, 1200*time.Millisecond)
+		}
+	}
+	f.SetZoneInService("b", true)
+	for _, i := range f.instances {
+		f.start(t, i, "")
+	}
+	f.awaitRequests(t, 300)
+	f.await(t, "the record is removed", func() bool { return !f.Store.Has(key) })
+	f.checkLedger(t)
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -34,6 +34,7 @@
 	directory      *directory.Directory
 	tracker        *directory.LifetimeTracker // presence of each lifetime
 	retention      directory.Retention        // keeps what a restore of the store has removed
+	returns        directory.ZoneReturns      // zones that have lately been taken back
 	registered     []carawaycart.Registration // instances listed in the store
 	contents       directory.Contents
 	operatorConfig *config.Configuration // set by operators with the carawaycart commands
@@ -244,8 +245,9 @@
 	v.registered = v.contents.Instances
 	v.retention.ApplyContents(&v.contents, now)
 	v.tracker.ApplyContents(&v.contents, now)
+	v.returns.ApplyContents(&v.contents, now)
 	table := steer.NewTable(&steer.Input{
-		Contents: v.contents, Revision: v.directory.Position().Revision, Lifetimes: v.tracker, Self: v.self, Limits: v.limits, Profiles: profiles,
+		Contents: v.contents, Revision: v.directory.Position().Revision, Lifetimes: v.tracker, ZonesColdUntil: v.returns.ColdUntil(), Self: v.self, Limits: v.limits, Profiles: profiles,
 	}, v.router.Table(), now)
 	v.router.SetTable(table)
 	v.log.Event("view").Int("revision", int64(table.Revision)).Int("era", int64(v.directory.Position().Era)).Int("config", int64(table.ConfigVersion)).
@@ -294,6 +296,13 @@
 	return ok
 }
 
+// DueZoneRecords returns the changes of the records of zones that are due now.
+func (v *View) DueZoneRecords() []directory.ZoneRecordChange {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.returns.Due(v.clock.Now())
+}
+
 // LostChanges returns the oldest entries of the change log that a restore of the store has
 // removed, in order.
 func (v *View) LostChanges() []carawaycart.StoreItem {
--- a/lifetime.go
+++ b/lifetime.go
@@ -122,4 +122,6 @@
 	Lifetime  *Lifetime
 	ZoneOut   ZoneID // zone that operators have taken out of service
 	Instances []Registration
+
+	ZoneRecord ZoneID // zone that the fleet has recorded as out of service
 }
