Learn of cold endpoints from a watch of the store

Cause: an instance learned of a lifetime only from a read of the whole store, each 0.6 s. Until then an endpoint that had started again under its ID got its usual share of new flows although it was cold, and an answer of the new lifetime to a probe counted as one of the old lifetime.

Change: the instance that reads for the fleet watches the entries of endpoints too. Starts of endpoints that are taken to run, and cold times that are longer than known, go to the fleet at once, as items ahead of the last read; the rest waits for the read, and so does what a watch misses. A watch that has not reported what a read showed is replaced. Flows that were sent to the former lifetime within the last second count against the share of the new one. A probe that a later lifetime answers keeps new flows away until the entry is known, and resets nothing.

Ruled out: reads at a shorter period (whole reads), a read for each change (one for each heartbeat of a cold endpoint), a probe before each flow.

Evidence: without the watch TestRestartedEndpointsAreNotOverrun fails with "received 15 new flows within a second, more than the limit of 11", without the count of earlier flows TestFlowsSentBeforeRestartWasKnownCountAsCold with "got 13 flows, want at most 11"; TestProbeChecksEndpointIdentity has rows for later lifetimes, which counted as alive.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -103,6 +103,16 @@
 	return delta
 }
 
+// ApplyAhead stores i, which was written in the given era after the position of the
+// directory, and reports whether it did. The directory remains complete up to its position
+// only, since other changes before i may be missing.
+func (d *Directory) ApplyAhead(i carawaycart.StoreItem, era carawaycart.StoreEra) bool {
+	if d.position.Revision == 0 || era != d.position.Era || i.Revision <= d.position.Revision {
+		return false
+	}
+	return d.insert(i)
+}
+
 // enterEra prepares the directory for items, all items of the store, if era is later than
 // that of the directory. The revisions of the directory's items then say nothing of the
 // order in which these and items were written. Items that are equal in both are kept,
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -198,7 +198,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			d := directories[rapid.IntRange(0, 2).Draw(t, "directory")]
 			before := d.Position()
-			switch rapid.IntRange(0, 8).Draw(t, "action") {
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
 			case 0, 1:
 				key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))
 				s.write(key, fmt.Sprint(s.revision))
@@ -221,6 +221,10 @@
 				s.copy()
 			case 8:
 				s.restore()
+			case 9:
+				if i, ok := s.items[fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key"))]; ok {
+					d.ApplyAhead(i, s.position().Era)
+				}
 			}
 			if d.Position().Before(before) {
 				t.Fatalf("got position %+v after %+v, want no older one", d.Position(), before)
--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -243,6 +243,29 @@
 	return b
 }
 
+// coldTolerance is the difference between two estimates of the end of a cold time that
+// varying delays may cause.
+const coldTolerance = 200 * time.Millisecond
+
+// IsUrgent reports whether l, as read from its entry at now, limits the new flows of an
+// endpoint that is taken to run: the endpoint has started again, or is cold for longer than
+// known.
+func (t *LifetimeTracker) IsUrgent(l *carawaycart.Lifetime, now time.Time) bool {
+	urgent := false
+	for key, s := range t.lifetimes {
+		switch {
+		case key.ID != l.ID || s.Presence == Ended && key.StartedAt < l.StartedAt:
+		case key.StartedAt > l.StartedAt:
+			return false // the entry is late or that of another writer
+		case key.StartedAt == l.StartedAt:
+			return l.ColdRemaining > 0 && now.Add(l.ColdRemaining-coldTolerance).After(s.ColdUntil)
+		default:
+			urgent = true
+		}
+	}
+	return urgent
+}
+
 // MayChange reports whether the passing of time alone may change a lifetime, without a
 // change of the directory: one that is lapsed, or that is held as draining.
 func (t *LifetimeTracker) MayChange() bool {
--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -71,3 +71,34 @@
 	recent = slices.DeleteFunc(recent, func(t time.Time) bool { return now.Sub(t) >= coldWindow+coldMargin })
 	return append(recent, now)
 }
+
+// FlowCounter counts the flows that were lately forwarded to an endpoint. The zero value has
+// counted none.
+type FlowCounter struct {
+	windowStart       time.Time
+	current, previous int // flows in the window that began at windowStart, and in the one before
+}
+
+// Record counts a flow that is forwarded at now.
+func (c *FlowCounter) Record(now time.Time) {
+	const window = coldWindow + coldMargin
+	switch age := now.Sub(c.windowStart); {
+	case age >= 2*window:
+		*c = FlowCounter{windowStart: now}
+	case age >= window:
+		*c = FlowCounter{windowStart: c.windowStart.Add(window), previous: c.current}
+	}
+	c.current++
+}
+
+// Recent returns an upper bound of the flows that Allows would count at now.
+func (c *FlowCounter) Recent(now time.Time) int {
+	const window = coldWindow + coldMargin
+	switch age := now.Sub(c.windowStart); {
+	case age >= 2*window:
+		return 0
+	case age >= window:
+		return c.current
+	}
+	return c.current + c.previous
+}
--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -36,15 +37,16 @@
 	return l.ID == before.ID && l.StartedAt > before.StartedAt && l.Address == before.Address && l.Service == before.Service
 }
 
-// newEndpoint returns the endpoint for the lifetime s, whose zone makes it cold until
-// zoneColdUntil. The argument previous is the endpoint of the same lifetime in the preceding
-// table, or nil.
-func newEndpoint(s *directory.TrackedLifetime, previous *endpoint, zoneColdUntil time.Time) *endpoint {
-	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, absent: s.Absent, coldUntil: s.ColdUntil}
+// newEndpoint returns the endpoint for the lifetime s at now, whose zone makes it cold until
+// zoneColdUntil. The argument previous is the preceding table, or nil.
+func newEndpoint(s *directory.TrackedLifetime, previous *Table, zoneColdUntil, now time.Time) *endpoint {
+	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, absent: s.Absent, coldUntil: s.ColdUntil, state: &state{}}
 	if previous != nil {
-		e.state = previous.state
-	} else {
-		e.state = &state{}
+		if old := previous.byKey[s.Lifetime.Key()]; old != nil {
+			e.state = old.state
+		} else if before := previous.latest[s.Lifetime.ID]; before != nil && e.succeeds(before) {
+			e.state.inheritFlows(before.state, now)
+		}
 	}
 	if zoneColdUntil.After(e.coldUntil) {
 		e.coldUntil = zoneColdUntil
@@ -71,6 +73,9 @@
 		c.Cold = true
 		c.AtColdLimit = !e.coldShare.Allows(s.recentColdFlows, s.coldFlows, now)
 	}
+	if now.Before(s.restartedUntil) {
+		c.AtColdLimit = true // its share is unknown until its entry is
+	}
 	return c, outdated
 }
 
@@ -81,6 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.opening++
+	s.flows.Record(now)
 	if now.Before(e.coldUntil) {
 		s.recentColdFlows = e.coldShare.Record(s.recentColdFlows, now)
 		s.coldFlows++
@@ -103,6 +109,11 @@
 	// SilenceSlack covers the time that a probe takes, with delays of its sender.
 	SilenceSlack = 400 * time.Millisecond
 
+	// restartNoticePeriod is how long an endpoint that is found to have started again gets no
+	// new flows, unless its entry says so before: the time of a read if the store answers,
+	// and most of the cold time otherwise.
+	restartNoticePeriod = 3 * time.Second
+
 	// peerProbeSpan is the time that a peer needs to find an endpoint silent, with two
 	// probes, and to report it.
 	peerProbeSpan = 400 * time.Millisecond
@@ -134,6 +145,33 @@
 	coldFlows         int           // number of flows that were forwarded to it since it became cold
 	outcomeCounts     outcomeCounts // outcomes of requests, observed locally and reported by peers
 	unreported        Outcomes      // local outcomes that have not been reported to peers
+
+	flows placement.FlowCounter // flows that were forwarded to it
+	// restartedUntil is until when the endpoint gets no new flows, because a probe was
+	// answered by a later lifetime.
+	restartedUntil time.Time
+}
+
+// maxInheritedFlows limits the flows that inheritFlows takes over. No share is that large.
+const maxInheritedFlows = 100
+
+// inheritFlows counts the flows that were lately forwarded to the lifetime before, whose state
+// is old, as forwarded to this one at now: the endpoint may have taken them since it started
+// again.
+func (s *state) inheritFlows(old *state, now time.Time) {
+	old.mu.Lock()
+	n := min(old.flows.Recent(now), maxInheritedFlows)
+	old.mu.Unlock()
+	s.recentColdFlows, s.coldFlows = slices.Repeat([]time.Time{now}, n), n
+}
+
+// recordRestart records at now that a later lifetime has answered a probe, so that the
+// endpoint answers but may be cold.
+func (s *state) recordRestart(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failedProbes, s.silent = 0, false
+	s.restartedUntil = now.Add(restartNoticePeriod)
 }
 
 // recordOutcomes adds outcomes that were observed locally at now.
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// RecordRestart records at now that a later lifetime of the endpoint with the given key has
+// answered a probe. The endpoint gets no new flows until its entry tells whether it is cold.
+func (r *Router) RecordRestart(key carawaycart.LifetimeKey, now time.Time) {
+	t := r.table.Load()
+	if t == nil || t.byKey[key] == nil {
+		return
+	}
+	t.byKey[key].state.recordRestart(now)
+}
+
 // TakeStranded returns a packet of each flow whose request waits for the endpoint with
 // the given key, which is silent at now and has left data on an open flow unanswered, if
 // the request may run more than once. It
--- a/core/steer/restart_test.go
+++ b/core/steer/restart_test.go
@@ -64,3 +64,64 @@
 		t.Errorf("got verdict %d for %s after two failed probes, want a reset", got.Verdict, got.Cause)
 	}
 }
+
+// An endpoint starts again, cold, and instances learn of it some time later. Guards against
+// their shares on top of the flows that they have sent it meanwhile.
+func TestFlowsSentBeforeRestartWasKnownCountAsCold(t *testing.T) {
+	f := newFleet(4, 2)
+	e := f.contents.Lifetimes[0]
+	e.RequestSlots = 100 // preferred by all instances
+	f.update(start)
+	flow, sent := 0, 0
+	send := func(from, to time.Duration) {
+		for at := from; at < to; at += 10 * time.Millisecond {
+			if f.routers[flow%4].Decide(first(flow, feed), start.Add(at)).Endpoint == e.ID {
+				sent++
+			}
+			flow++
+		}
+	}
+	send(0, time.Second)
+	if sent < 50 {
+		t.Fatalf("got %d flows at the endpoint while warm, want most of 100", sent)
+	}
+	sent = 0
+	send(time.Second, 1080*time.Millisecond) // the endpoint has started again
+	restarted := *e
+	restarted.StartedAt, restarted.ColdRemaining = e.StartedAt+100, 2*time.Second
+	f.contents.Lifetimes[0] = &restarted
+	f.contents.Revisions = map[carawaycart.LifetimeKey]carawaycart.StoreRevision{restarted.Key(): 9}
+	f.update(start.Add(1080 * time.Millisecond))
+	send(1080*time.Millisecond, 2*time.Second)
+	const limit = 4*1.5 + 5 // ColdRequestRate, ColdOverrun and ColdSlack of newFleet
+	if sent > limit {
+		t.Errorf("got %d flows in the second after the restart, want at most %v", sent, float64(limit))
+	}
+	sent = 0
+	send(2300*time.Millisecond, 2900*time.Millisecond)
+	if sent == 0 {
+		t.Error("got no flow at the cold endpoint later, want its share")
+	}
+}
+
+// A probe is answered by a later lifetime than the one that an instance knows. Guards against
+// new flows at their usual rate to an endpoint that may be cold, against resetting its flows,
+// and against no flows for ever if its entry never says so.
+func TestEndpointFoundRestartedByProbeGetsNoNewFlows(t *testing.T) {
+	f := newFleet(1, 1)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	key := f.contents.Lifetimes[0].Key()
+	r.RecordProbe(key, false, start.Add(time.Second), start.Add(1150*time.Millisecond))
+	r.RecordRestart(key, start.Add(1200*time.Millisecond))
+	now := start.Add(1300 * time.Millisecond)
+	if got := r.Decide(first(2, feed), now); got.Cause != carawaycart.CauseCold {
+		t.Errorf("got verdict %d for %s, want a reset for cold", got.Verdict, got.Cause)
+	}
+	mustForward(t, r.Decide(request(1, feed, d.Token), now))
+	mustForward(t, r.Decide(first(3, feed), now.Add(4*time.Second)))
+	f.endpoint(d.Endpoint).StartedAt++
+	f.update(now.Add(100 * time.Millisecond))
+	mustForward(t, r.Decide(first(4, feed), now.Add(200*time.Millisecond)))
+}
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -21,7 +21,8 @@
 	removedUntil map[packedAddress]time.Time // when flows on routes that were removed have ended
 	byToken      map[carawaycart.Token]*endpoint
 	byKey        map[carawaycart.LifetimeKey]*endpoint
-	zonesOut     map[carawaycart.ZoneID]bool // zones whose endpoints take no new flows
+	latest       map[carawaycart.EndpointID]*endpoint // latest lifetime of each endpoint
+	zonesOut     map[carawaycart.ZoneID]bool          // zones whose endpoints take no new flows
 
 	policies   map[carawaycart.ServiceID]carawaycart.ServicePolicy
 	admissions map[carawaycart.ServiceID]*admission.Controller // shared by all tables of a router
@@ -141,11 +142,7 @@
 	var keys []carawaycart.LifetimeKey
 	in.Lifetimes.ForEach(func(s *directory.TrackedLifetime) {
 		key := s.Lifetime.Key()
-		var old *endpoint
-		if previous != nil {
-			old = previous.byKey[key]
-		}
-		e := newEndpoint(s, old, in.ZonesColdUntil[s.Lifetime.Zone])
+		e := newEndpoint(s, previous, in.ZonesColdUntil[s.Lifetime.Zone], now)
 		profile, ok := in.Profiles[s.Lifetime.Service]
 		if ok {
 			e.warmupUntil = e.coldUntil.Add(profile.WarmupSeconds.Duration())
@@ -166,16 +163,17 @@
 	t.linkSuccessors()
 }
 
-// linkSuccessors sets the successors of the endpoints that have ended.
+// linkSuccessors sets the latest lifetimes of the endpoints, and the successors of those that
+// have ended.
 func (t *Table) linkSuccessors() {
-	latest := make(map[carawaycart.EndpointID]*endpoint, len(t.byKey))
+	t.latest = make(map[carawaycart.EndpointID]*endpoint, len(t.byKey))
 	for _, e := range t.byKey {
-		if l := latest[e.lifetime.ID]; l == nil || l.lifetime.StartedAt < e.lifetime.StartedAt {
-			latest[e.lifetime.ID] = e
+		if l := t.latest[e.lifetime.ID]; l == nil || l.lifetime.StartedAt < e.lifetime.StartedAt {
+			t.latest[e.lifetime.ID] = e
 		}
 	}
 	for _, e := range t.byKey {
-		if l := latest[e.lifetime.ID]; e.presence == directory.Ended && l.succeeds(e) {
+		if l := t.latest[e.lifetime.ID]; e.presence == directory.Ended && l.succeeds(e) {
 			e.successor = l
 		}
 	}
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -107,6 +107,32 @@
 	d.send(update, d.zonePeers(state.Instances))
 }
 
+// BroadcastAhead sends items of the given era that are ahead of the last read to the peers of
+// the zone and to relays in other zones.
+func (d *Disseminator) BroadcastAhead(items []carawaycart.StoreItem, era carawaycart.StoreEra) {
+	instances := d.view.State().Instances
+	for _, i := range items {
+		update := &message.DirectoryNews{
+			From: string(d.self), Era: uint64(era), Ahead: true, Relay: true, Items: message.FromItems([]carawaycart.StoreItem{i}),
+		}
+		if proto.Size(update) > maxUpdateBytes {
+			continue
+		}
+		d.send(update, d.relayPeers(instances))
+		update.Relay = false
+		d.send(update, d.zonePeers(instances))
+	}
+}
+
+// receiveAhead applies the items of a peer that are ahead of the last read, and relays them
+// if asked to.
+func (d *Disseminator) receiveAhead(update *message.DirectoryNews) {
+	d.view.ApplyAhead(message.ToItems(update.GetItems()), carawaycart.StoreEra(update.GetEra()), update.GetFrom())
+	if update.GetRelay() {
+		d.relay(update, d.view.State().Instances)
+	}
+}
+
 // newUpdate returns the message for a delta read at began, where failure is the time
 // of the last store failure, or zero if none is known. The message is partial,
 // without items, if it would exceed maxUpdateBytes or the delta enters another era.
@@ -251,6 +277,10 @@
 		d.router.MergeOutcomes(outcomes, d.clock.Now())
 		return
 	}
+	if update.GetAhead() {
+		d.receiveAhead(update)
+		return
+	}
 	now := d.clock.Now()
 	if update.GetFailedRead() {
 		d.view.RecordFailedRead(carawaycart.InstanceID(update.GetFrom()), now)
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -50,6 +50,7 @@
 	disseminator   *Disseminator
 	registrar      *Registrar
 	reader         *Reader
+	watcher        *Watcher
 	prober         *Prober
 	hedger         *Hedger
 	timer          *deadlineTimer
@@ -113,7 +114,8 @@
 	e.readyServer = newReadyServer(sockets.Ready, platform.ReadyPath, e.Ready)
 	e.operatorServer = operator.NewServer(sockets.Operator, e, e.counters.Registry)
 	e.timer = newDeadlineTimer(e.router, clock)
-	e.reader = NewReader(s, e.store, e.view, e.disseminator, e.registrar, clock, log)
+	e.watcher = NewWatcher(e.store, e.view, e.disseminator, clock, log)
+	e.reader = NewReader(s, e.store, e.view, e.disseminator, e.registrar, e.watcher, clock, log)
 	e.loading.Store(e.reader)
 	go e.join(own)
 	log.Event("started").Text("zone", string(s.Zone)).Text("store", s.StoreURL).End()
@@ -241,6 +243,7 @@
 // Close shuts the instance down immediately.
 func (e *Instance) Close() {
 	e.reader.Close()
+	e.watcher.Close()
 	e.disseminator.Close()
 	e.peerServer.Close()
 	if err := e.fabricPort.Close(); err != nil {
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -82,9 +82,7 @@
 		return
 	}
 	p.probing[key] = true
-	address := l.Address.String()
-	id := string(l.ID)
-	service := l.Service
+	probed := *l
 	token := p.router.Table().Token(key)
 	p.done.Go(func() {
 		defer func() {
@@ -95,7 +93,12 @@
 		for period := initialProbePeriod; ; period = min(2*period, maxProbePeriod) {
 			began := p.clock.Now()
 			loaded := p.loading()
-			alive := p.probeOnce("http://"+address+p.router.Table().HealthPath(service), id)
+			outcome := p.probeOnce("http://"+probed.Address.String()+p.router.Table().HealthPath(probed.Service), &probed)
+			if outcome == probeRestarted {
+				p.router.RecordRestart(key, p.clock.Now())
+				return
+			}
+			alive := outcome == probeAnswered
 			recovered := p.nextRecovery()
 			late := p.clock.Now().Sub(began) > probeTimeout+maxProbeLateness
 			if !alive && (late || loaded || p.loading()) && p.wait(initialProbePeriod, nil) {
@@ -155,12 +158,21 @@
 	p.recovered = make(chan struct{})
 }
 
-// probeOnce reports whether endpoint id is alive at url. An endpoint that accepts
+// probeOutcome is what a probe tells of a lifetime.
+type probeOutcome int
+
+const (
+	probeFailed    probeOutcome = iota // the endpoint is not there
+	probeAnswered                      // the endpoint is alive
+	probeRestarted                     // the endpoint has started again since
+)
+
+// probeOnce probes the endpoint of l at url. An endpoint that accepts
 // the connection is alive, even if it is too busy to answer in time, or is full and resets
 // the connection, which may be seen before the connection counts as established. It is not
 // alive if the answer has the ID of another endpoint, which may have been given the address
-// since.
-func (p *Prober) probeOnce(url, id string) bool {
+// since. An answer of a later lifetime says nothing of l but that it has ended.
+func (p *Prober) probeOnce(url string, l *carawaycart.Lifetime) probeOutcome {
 	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
 	defer cancel()
 	p.counters.Probes.Inc(1)
@@ -169,14 +181,23 @@
 	request, err := http.NewRequestWithContext(traced, http.MethodGet, url, nil)
 	if err != nil {
 		p.log.Event("probeFailed").Err(err).End()
-		return true // no probe was sent, so there is no evidence against the endpoint
+		return probeAnswered // no probe was sent, so there is no evidence against the endpoint
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
-		p.log.Event("probeUnanswered").Text("endpoint", id).Bool("connected", connected.Load()).Err(err).End()
-		return connected.Load() || errors.Is(err, syscall.ECONNRESET)
+		p.log.Event("probeUnanswered").Text("endpoint", string(l.ID)).Bool("connected", connected.Load()).Err(err).End()
+		if connected.Load() || errors.Is(err, syscall.ECONNRESET) {
+			return probeAnswered
+		}
+		return probeFailed
+	}
+	defer func() { _ = response.Body.Close() }()
+	if responder := response.Header.Get(platform.EndpointIDHeader); responder != "" && responder != string(l.ID) {
+		return probeFailed
+	}
+	if startedAt := platform.ReadHealth(response.Body); l.StartedAt != 0 && startedAt > l.StartedAt {
+		p.log.Event("restarted").Text("endpoint", string(l.ID)).Int("bornBefore", int64(l.StartedAt)).Int("born", int64(startedAt)).End()
+		return probeRestarted
 	}
-	_ = response.Body.Close()
-	responder := response.Header.Get(platform.EndpointIDHeader)
-	return responder == "" || responder == id
+	return probeAnswered
 }
--- a/internal/edge/prober_test.go
+++ b/internal/edge/prober_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,26 +14,33 @@
 	"carawaycart"
 )
 
-// After a lifetime has ended, its address may be given to another endpoint. Guards
-// against counting the answer of the new endpoint as an answer of the old one.
+// After a lifetime has ended, its address may be given to another endpoint, or its endpoint
+// starts again. Guards against counting the answer of another endpoint or of a later lifetime
+// as an answer of the old one.
 func TestProbeChecksEndpointIdentity(t *testing.T) {
 	for _, test := range []struct {
-		name, responder string
-		want            bool
+		name, responder, body string
+		want                  probeOutcome
 	}{
-		{"the same endpoint", "i-1", true},
-		{"another endpoint", "i-2", false},
-		{"an answer without an ID", "", true},
+		{"the same endpoint", "i-1", "", probeAnswered},
+		{"another endpoint", "i-2", "", probeFailed},
+		{"an answer without an ID", "", "", probeAnswered},
+		{"the same lifetime", "i-1", `{"id":"i-1","born":5}`, probeAnswered},
+		{"a later lifetime", "i-1", `{"id":"i-1","born":6}`, probeRestarted},
+		{"a later lifetime of another endpoint", "i-2", `{"id":"i-2","born":6}`, probeFailed},
+		{"an earlier lifetime", "i-1", `{"born":4}`, probeAnswered},
+		{"a start that is no number", "i-1", `{"born":"6"}`, probeAnswered},
 	} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if test.responder != "" {
 				w.Header().Set("X-Instance-Id", test.responder)
 			}
 			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, test.body)
 		}))
 		p := NewProber(carawaycart.NewMonotonicClock(), NewCounters(), nil)
-		if got := p.probeOnce(s.URL, "i-1"); got != test.want {
-			t.Errorf("%s: got alive %t, want %t", test.name, got, test.want)
+		if got := p.probeOnce(s.URL, &carawaycart.Lifetime{ID: "i-1", StartedAt: 5}); got != test.want {
+			t.Errorf("%s: got outcome %d, want %d", test.name, got, test.want)
 		}
 		p.Close()
 		s.Close()
@@ -46,7 +54,7 @@
 	s.Close()
 	p := NewProber(carawaycart.NewMonotonicClock(), NewCounters(), nil)
 	defer p.Close()
-	if p.probeOnce(s.URL, "i-1") {
+	if p.probeOnce(s.URL, &carawaycart.Lifetime{ID: "i-1"}) != probeFailed {
 		t.Error("got alive for a closed port, want not alive")
 	}
 }
@@ -58,7 +66,7 @@
 	defer s.Close()
 	p := NewProber(carawaycart.NewMonotonicClock(), NewCounters(), nil)
 	defer p.Close()
-	if !p.probeOnce(s.URL, "i-1") {
+	if p.probeOnce(s.URL, &carawaycart.Lifetime{ID: "i-1"}) != probeAnswered {
 		t.Error("got not alive for an endpoint that accepts connections, want alive")
 	}
 }
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -45,6 +45,7 @@
 	view         *View
 	disseminator *Disseminator
 	registrar    *Registrar
+	watcher      *Watcher
 	clock        carawaycart.Clock
 	log          *eventlog.Log
 
@@ -59,10 +60,10 @@
 }
 
 // NewReader returns a reader for the instance with settings s. It reads store into
-// v until Close is called.
-func NewReader(s settings.Settings, store *platform.Store, v *View, d *Disseminator, g *Registrar, k carawaycart.Clock, log *eventlog.Log) *Reader {
+// v, and tells w of its reads, until Close is called.
+func NewReader(s settings.Settings, store *platform.Store, v *View, d *Disseminator, g *Registrar, w *Watcher, k carawaycart.Clock, log *eventlog.Log) *Reader {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Reader{self: s.ID, zone: s.Zone, store: store, view: v, disseminator: d, registrar: g, clock: k, log: log, cancel: cancel}
+	r := &Reader{self: s.ID, zone: s.Zone, store: store, view: v, disseminator: d, registrar: g, watcher: w, clock: k, log: log, cancel: cancel}
 	r.firstRead = k.Now().Add(headStart(s))
 	r.done.Go(func() {
 		for ctx.Err() == nil {
@@ -187,6 +188,7 @@
 	r.log.Event("read").Int("era", int64(read.Era)).Int("revision", int64(read.Revision)).Int("written", int64(len(delta.Items))).
 		Int("missing", int64(len(delta.RemovedKeys))).Millis("tookMs", now.Sub(began)).End()
 	r.disseminator.Broadcast(delta, began)
+	r.watcher.RecordRead(delta, began)
 	r.rewriteLost(callCtx)
 	r.recordZones(callCtx)
 }
--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -55,3 +55,17 @@
 	f.await(t, "the record is removed", func() bool { return !f.Store.Has(key) })
 	f.checkLedger(t)
 }
+
+// Endpoints start again under their IDs, cold, at any time between two reads of the store.
+// Guards against new flows at their usual rate until the next read.
+func TestRestartedEndpointsAreNotOverrun(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 2)
+	f.BeginLoad(1, 80)
+	f.awaitRequests(t, 200)
+	for n := range 8 {
+		f.Endpoints[n%4].Restart(2 * time.Second)
+		time.Sleep(time.Second + time.Duration(n)*170*time.Millisecond)
+	}
+	f.checkLedger(t)
+}
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -128,6 +128,30 @@
 	return true
 }
 
+// ApplyAhead applies those of items, which are ahead of the view and of the given era, that
+// limit the new flows of an endpoint, and returns them. The source is the peer that sent
+// them, or "watch".
+func (v *View) ApplyAhead(items []carawaycart.StoreItem, era carawaycart.StoreEra, source string) []carawaycart.StoreItem {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	var applied []carawaycart.StoreItem
+	for _, i := range items {
+		decoded, err := platform.DecodeItem(i)
+		l := decoded.Lifetime
+		if err != nil || l == nil || !v.tracker.IsUrgent(l, now) || !v.directory.ApplyAhead(i, era) {
+			continue // the next read tells
+		}
+		applied = append(applied, i)
+		v.log.Event("entryAhead").Text("endpoint", string(l.ID)).Int("born", int64(l.StartedAt)).Millis("coldMs", l.ColdRemaining).
+			Int("revision", int64(i.Revision)).Text("source", source).End()
+	}
+	if len(applied) > 0 {
+		v.rebuild(source, now)
+	}
+	return applied
+}
+
 // ApplySnapshot applies a snapshot received from the peer from, for a read of the
 // store that began at began. It returns false if the snapshot holds a delta that the
 // view cannot apply, so that one without is needed.
