Read the figures of the settings as fractions

Cause: graceSeconds was read as a whole number, while the platform gives the figures of bounds as whole numbers or fractions, and one fault makes the whole file invalid.

Change: the grace time is a number and kept in milliseconds. The other figures of the template could be fractions already, but also NaN, which is refused now. An optional setting without a value, which the template gives for a field that the platform does not have, takes its default instead of being a fault.

--- a/ids.go
+++ b/ids.go
@@ -56,6 +56,12 @@
 // Fingerprint is the 64-bit hash of a FlowKey.
 type Fingerprint uint64
 
+// Millis is a duration in whole milliseconds.
+type Millis int64
+
+// Duration returns m as a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
 // Seconds is a duration in whole seconds.
 type Seconds int
 
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -228,7 +228,7 @@
 	began := e.clock.Now()
 	e.stopping.Store(true)
 	e.log.Event("stopping").End()
-	deadline := began.Add(e.settings.Load().GraceSeconds.Duration() - closeReserve)
+	deadline := began.Add(e.settings.Load().GraceMillis.Duration() - closeReserve)
 	for now := began; now.Before(deadline); now = e.clock.Now() {
 		idle := now.Sub(time.Unix(0, e.lastPacket.Load())) > idlePeriod
 		if idle && now.Sub(began) > unreadyNoticePeriod {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	minThreads = 1
 	maxThreads = 64
 
+	minGraceSeconds = 0.001
 	maxGraceSeconds = 600
 	maxColdSetting  = 1000
 )
@@ -43,9 +44,9 @@
 
 	// The fields below are set only for FormatToken.
 
-	ReadyAddress netip.AddrPort      // TCP address of the HTTP readiness check of the fabric
-	GraceSeconds carawaycart.Seconds // time from SIGTERM until the instance is killed
-	FirstStart   bool                // first start of the whole fleet, so seeds get more time to answer
+	ReadyAddress netip.AddrPort     // TCP address of the HTTP readiness check of the fabric
+	GraceMillis  carawaycart.Millis // time from SIGTERM until the instance is killed
+	FirstStart   bool               // first start of the whole fleet, so seeds get more time to answer
 	// The limit on the new flows per second of a cold endpoint is ColdOverrun times
 	// ServicePolicy.ColdRequestRate, plus ColdSlack.
 	ColdOverrun float64
@@ -181,14 +182,11 @@
 		set: setThreads,
 	},
 	{
-		Section: "limits", Key: "graceSeconds", Meaning: "Seconds from SIGTERM until the instance is killed.", Default: "6", OnlyFormat: FormatToken,
+		Section: "limits", Key: "graceSeconds", Meaning: "Seconds from SIGTERM until the instance is killed; may be a fraction.", Default: "6", OnlyFormat: FormatToken,
 		set: func(s *Settings, v string) error {
-			n, err := strconv.Atoi(v)
-			if err != nil || n < 1 || n > maxGraceSeconds {
-				return errors.NotValidf("%q (want 1 to %d)", v, maxGraceSeconds)
-			}
-			s.GraceSeconds = carawaycart.Seconds(n)
-			return nil
+			seconds, err := parseDecimal(v, minGraceSeconds, maxGraceSeconds)
+			s.GraceMillis = carawaycart.Millis(seconds * 1000)
+			return err
 		},
 	},
 	{
@@ -218,15 +216,21 @@
 // and stores it in field.
 func decimalSetter(field func(*Settings) *float64) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
-		n, err := strconv.ParseFloat(v, 64)
-		if err != nil || n < 0 || n > maxColdSetting {
-			return errors.NotValidf("%q (want 0 to %d)", v, maxColdSetting)
-		}
+		n, err := parseDecimal(v, 0, maxColdSetting)
 		*field(s) = n
-		return nil
+		return err
 	}
 }
 
+// parseDecimal parses a number, which may be a fraction, from low to high.
+func parseDecimal(v string, low, high float64) (float64, error) {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= low && n <= high) { // also refuses NaN
+		return 0, errors.NotValidf("%q (want %g to %g)", v, low, high)
+	}
+	return n, nil
+}
+
 func setFormat(s *Settings, v string) error {
 	s.Format = Format(v)
 	if s.Format != FormatGeneve && s.Format != FormatToken {
@@ -303,11 +307,16 @@
 }
 
 // setField sets the field of s that f describes from file, or to the default if the
-// key is absent. It returns the problem with the setting, or "" if there is none.
+// key is absent or has no value, as in a template whose field the platform does not have. It
+// returns the problem with the setting, or "" if there is none.
 func setField(s *Settings, file *ini.File, f Field) string {
 	section := file.Section(f.Section)
 	otherFormat := f.OnlyFormat != "" && s.Format != "" && f.OnlyFormat != s.Format
-	if !section.HasKey(f.Key) {
+	var values []string
+	if section.HasKey(f.Key) {
+		values = section.Key(f.Key).ValueWithShadows()
+	}
+	if len(values) == 0 || len(values) == 1 && values[0] == "" {
 		if otherFormat {
 			return ""
 		}
@@ -322,11 +331,10 @@
 	if otherFormat {
 		return fmt.Sprintf("valid only with format %s", f.OnlyFormat)
 	}
-	values := section.Key(f.Key).ValueWithShadows()
 	if len(values) > 1 {
 		return fmt.Sprintf("given %d times", len(values))
 	}
-	return problemText(f.set(s, section.Key(f.Key).String()))
+	return problemText(f.set(s, values[0]))
 }
 
 func problemText(err error) string {
