Let one instance of each zone watch the store

Cause: only the instance that reads for the fleet watched the entries of endpoints. If it was killed, a restart of an endpoint was known by the next read of another instance only, 0.8 s later or more.

What callers saw: a cold endpoint got more new flows in a second than it bears, when it started again just after the reader was killed (FAILBACK).

Change: the first instance of each zone, in the order of reads, watches too.

Evidence: TestRestartedEndpointsAreNotOverrunWithoutReader fails on the code before with "received 15 new flows within a second, more than the limit of 11" and passes now; TestFirstInstanceOfZoneWatches and TestOneInstanceOfEachZoneWatches hold the choice.

--- a/core/directory/schedule.go
+++ b/core/directory/schedule.go
@@ -131,32 +131,49 @@
 
 // readDelay returns how much longer than readPeriod the instance waits for others to
 // read. The delay grows with the position of the zone in sorted order, and with the
-// instance's rank in the zone by rendezvous hash, where instances whose reads have just
-// failed do not count. An instance that is not listed comes after the first ranks,
+// instance's rank in the zone. An instance that is not listed comes after the first ranks,
 // because it cannot tell how many such instances there are.
 func readDelay(s *ReadState, now time.Time) time.Duration {
-	key := rendezvous.NewKey("reader")
-	ownScore := rendezvous.Score(rendezvous.NewName(string(s.Self)), key)
-	rank := 0
+	rank, listed := readRank(s, now)
+	if !listed {
+		ownScore := rendezvous.Score(rendezvous.NewName(string(s.Self)), rendezvous.NewKey(readerKey))
+		rank = maxRankSteps + int(ownScore%maxLateRankSteps)
+	}
 	zones := []carawaycart.ZoneID{s.Zone}
-	listed := s.Listed
 	for _, i := range s.Instances {
-		listed = listed || i.ID == s.Self
-		if s.Failures.isFailing(i.ID, now) {
-			continue
-		}
-		if !slices.Contains(zones, i.Zone) {
+		if !s.Failures.isFailing(i.ID, now) && !slices.Contains(zones, i.Zone) {
 			zones = append(zones, i.Zone)
 		}
-		if i.Zone == s.Zone && i.ID != s.Self && rendezvous.Score(rendezvous.NewName(string(i.ID)), key) > ownScore {
-			rank++
-		}
-	}
-	if !listed {
-		rank = maxRankSteps + int(ownScore%maxLateRankSteps)
 	}
 	slices.Sort(zones)
 	return time.Duration(min(slices.Index(zones, s.Zone), maxZoneSteps))*zoneDelayStep +
 		time.Duration(min(rank, maxRankSteps))*rankDelayStep +
 		time.Duration(min(max(rank-maxRankSteps, 0), maxLateRankSteps))*lateRankDelayStep
 }
+
+// readerKey is the key of the rendezvous hash by which the instances of a zone are ranked.
+const readerKey = "reader"
+
+// readRank returns the instance's rank in its zone by rendezvous hash, where instances whose
+// reads have just failed do not count, and whether it is listed.
+func readRank(s *ReadState, now time.Time) (rank int, listed bool) {
+	key := rendezvous.NewKey(readerKey)
+	ownScore := rendezvous.Score(rendezvous.NewName(string(s.Self)), key)
+	listed = s.Listed
+	for _, i := range s.Instances {
+		listed = listed || i.ID == s.Self
+		if i.Zone == s.Zone && i.ID != s.Self && !s.Failures.isFailing(i.ID, now) &&
+			rendezvous.Score(rendezvous.NewName(string(i.ID)), key) > ownScore {
+			rank++
+		}
+	}
+	return rank, listed
+}
+
+// Watches reports whether the instance watches the store at now although others read it: it
+// comes first in its zone. One instance of each zone thus watches, so that the fleet does not
+// depend on a single one.
+func Watches(s *ReadState, now time.Time) bool {
+	rank, listed := readRank(s, now)
+	return listed && rank == 0
+}
--- a/core/directory/schedule_test.go
+++ b/core/directory/schedule_test.go
@@ -175,3 +175,22 @@
 		failures.RecordFailure(next.ID, now)
 	}
 }
+
+// Guards against a zone in which no instance watches the store, or several do.
+func TestOneInstanceOfEachZoneWatches(t *testing.T) {
+	all := registrations(20, "a", "b", "c")
+	watching := make(map[carawaycart.ZoneID]int)
+	for _, i := range all {
+		if directory.Watches(&directory.ReadState{Self: i.ID, Zone: i.Zone, Instances: all}, start) {
+			watching[i.Zone]++
+		}
+	}
+	for _, zone := range []carawaycart.ZoneID{"a", "b", "c"} {
+		if watching[zone] != 1 {
+			t.Errorf("got %d instances of zone %s that watch, want 1", watching[zone], zone)
+		}
+	}
+	if directory.Watches(&directory.ReadState{Self: "new", Zone: "d", Instances: all}, start) {
+		t.Error("got an instance that watches though it is not listed")
+	}
+}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -114,7 +114,7 @@
 	e.readyServer = newReadyServer(sockets.Ready, platform.ReadyPath, e.Ready)
 	e.operatorServer = operator.NewServer(sockets.Operator, e, e.counters.Registry)
 	e.timer = newDeadlineTimer(e.router, clock)
-	e.watcher = NewWatcher(e.store, e.view, e.disseminator, clock, log)
+	e.watcher = NewWatcher(s.ID, s.Zone, e.store, e.view, e.disseminator, clock, log)
 	e.reader = NewReader(s, e.store, e.view, e.disseminator, e.registrar, e.watcher, clock, log)
 	e.loading.Store(e.reader)
 	go e.join(own)
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -128,6 +128,7 @@
 		// Reads and failed reads of peers have moved the time meanwhile.
 		state = r.view.State()
 		if r.nextRead(&state).After(r.clock.Now()) {
+			r.watcher.Wake()
 			r.registrar.Reconcile(ctx)
 			return
 		}
--- a/internal/edge/restart_test.go
+++ b/internal/edge/restart_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +70,43 @@
 	}
 	f.checkLedger(t)
 }
+
+// awaitReader waits until an instance reads the store and returns it.
+func (f *fleet) awaitReader(t *testing.T) *instance {
+	t.Helper()
+	reads := func(i *instance) int { return strings.Count(i.logLines.String(), "event=read ") }
+	before := make(map[*instance]int)
+	for _, i := range f.instances {
+		before[i] = reads(i)
+	}
+	var reader *instance
+	f.await(t, "an instance reads the store", func() bool {
+		for _, i := range f.instances {
+			if reads(i) > before[i] {
+				reader = i
+			}
+		}
+		return reader != nil
+	})
+	return reader
+}
+
+// Endpoints start again, cold, just after the instance that reads for the fleet was killed.
+// Guards against a fleet that depends on one instance to learn of restarts.
+func TestRestartedEndpointsAreNotOverrunWithoutReader(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2, 2)
+	f.await(t, "all instances are listed", func() bool { return f.listed(t) == len(f.instances) })
+	f.BeginLoad(1, 80)
+	f.awaitRequests(t, 200)
+	for n := range 6 {
+		reader := f.awaitReader(t)
+		f.kill(reader)
+		f.RecordDisturbance()
+		f.Endpoints[n%4].Restart(2 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		f.start(t, reader, "")
+		time.Sleep(1500 * time.Millisecond)
+	}
+	f.checkLedger(t)
+}
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -22,9 +22,11 @@
 
 // Watcher watches the items of endpoints in the store, so that the fleet learns at once of
 // endpoints that have started again or become cold. It watches while its instance is the one
-// that reads the store for the fleet. All other changes, and those that a watch misses, are
-// left to the reads.
+// that reads the store for the fleet, or comes first in its zone. All other changes, and those
+// that a watch misses, are left to the reads.
 type Watcher struct {
+	self         carawaycart.InstanceID
+	zone         carawaycart.ZoneID
 	store        *platform.Store
 	view         *View
 	disseminator *Disseminator
@@ -36,16 +38,18 @@
 	reported carawaycart.StoreRevision // revision up to which the watch has reported
 	expected carawaycart.StoreRevision // revision of the newest item of an endpoint in a read
 	stopped  context.CancelFunc        // ends the watch in progress; nil if there is none
-	due      chan struct{}             // signaled after a read by this instance
+	due      chan struct{}             // signaled by Wake
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
 
-// NewWatcher returns a watcher that applies the changes in store to v, and sends them to
-// peers through d, until Close is called.
-func NewWatcher(store *platform.Store, v *View, d *Disseminator, k carawaycart.Clock, log *eventlog.Log) *Watcher {
+// NewWatcher returns a watcher for an instance in zone. It applies the changes in store to v,
+// and sends them to peers through d, until Close is called.
+func NewWatcher(self carawaycart.InstanceID, zone carawaycart.ZoneID, store *platform.Store, v *View, d *Disseminator,
+	k carawaycart.Clock, log *eventlog.Log,
+) *Watcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Watcher{store: store, view: v, disseminator: d, clock: k, log: log, due: make(chan struct{}, 1), cancel: cancel}
+	w := &Watcher{self: self, zone: zone, store: store, view: v, disseminator: d, clock: k, log: log, due: make(chan struct{}, 1), cancel: cancel}
 	w.done.Go(func() {
 		for {
 			select {
@@ -79,21 +83,32 @@
 			w.expected = max(w.expected, min(i.Revision, delta.To.Revision))
 		}
 	}
+	w.Wake()
+}
+
+// Wake lets the watcher begin to watch, if it is to and does not yet. It is called after each
+// read of the store by any instance.
+func (w *Watcher) Wake() {
 	select {
 	case w.due <- struct{}{}:
 	default:
 	}
 }
 
-// isReader reports whether no other instance has read the store since this one.
-func (w *Watcher) isReader() bool {
+// watches reports whether the instance is to watch the store: no other one has read it since,
+// or the instance comes first in its zone.
+func (w *Watcher) watches() bool {
+	state := w.view.State()
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.view.State().LastReadAt.After(w.readAt)
+	isReader := !state.LastReadAt.After(w.readAt)
+	w.mu.Unlock()
+	return isReader || directory.Watches(&directory.ReadState{
+		Self: w.self, Zone: w.zone, Instances: state.Instances, Failures: state.FailedReads,
+	}, w.clock.Now())
 }
 
 // watch watches the store from the position of the view on, until a watch fails, the store
-// is restored or another instance reads it.
+// is restored or the instance is no longer to watch.
 func (w *Watcher) watch(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -106,7 +121,7 @@
 		w.stopped = nil
 		w.mu.Unlock()
 	}()
-	for after := position.Revision; ctx.Err() == nil && w.isReader(); {
+	for after := position.Revision; ctx.Err() == nil && w.watches(); {
 		began := w.clock.Now()
 		changes, err := w.watchOnce(ctx, after)
 		if err != nil {
--- a/internal/edge/watcher_test.go
+++ b/internal/edge/watcher_test.go
@@ -77,7 +77,7 @@
 	defer s.Close()
 	store := platform.NewStore(s.URL, nil)
 	defer store.Close()
-	w := NewWatcher(store, v, d, d.clock, nil)
+	w := NewWatcher("self", "a", store, v, d, d.clock, nil)
 	defer w.Close()
 	w.RecordRead(directory.Delta{}, v.State().LastReadAt)
 	awaitTrue(t, "the restart is known", func() bool { return knowsRestart(d) })
@@ -95,7 +95,7 @@
 	defer s.Close()
 	store := platform.NewStore(s.URL, nil)
 	defer store.Close()
-	w := NewWatcher(store, v, d, d.clock, nil)
+	w := NewWatcher("self", "a", store, v, d, d.clock, nil)
 	defer w.Close()
 	read := func(revision carawaycart.StoreRevision, items ...carawaycart.StoreItem) {
 		began := d.clock.Now()
@@ -129,7 +129,7 @@
 	defer s.Close()
 	store := platform.NewStore(s.URL, nil)
 	defer store.Close()
-	w := NewWatcher(store, v, d, d.clock, nil)
+	w := NewWatcher("self", "a", store, v, d, d.clock, nil)
 	defer w.Close()
 	w.RecordRead(directory.Delta{}, v.State().LastReadAt)
 	awaitTrue(t, "the store is watched", func() bool { return watches.Load() > 0 })
@@ -142,6 +142,42 @@
 	}
 }
 
+// Guards against a fleet that notices no restart while the only instance that watches is
+// killed: the first of each zone watches although another instance reads.
+func TestFirstInstanceOfZoneWatches(t *testing.T) {
+	for _, test := range []struct {
+		name, instances string
+		want            int32
+	}{
+		{"listed alone", `{"id":"self","zone":"a","peerAddress":"127.0.0.1:1"}`, 1},
+		{"listed with one of another zone", `{"id":"self","zone":"a","peerAddress":"127.0.0.1:1"},{"id":"n1","zone":"b","peerAddress":"127.0.0.1:2"}`, 1},
+		{"not listed", `{"id":"n1","zone":"b","peerAddress":"127.0.0.1:2"}`, 0},
+	} {
+		d, v := newTestDisseminator(t)
+		var watches atomic.Int32
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			watches.Add(1)
+			<-r.Context().Done()
+		}))
+		store := platform.NewStore(s.URL, nil)
+		w := NewWatcher("self", "a", store, v, d, d.clock, nil)
+		v.ApplyUpdate(directory.Delta{
+			From: directory.Position{Revision: 10}, To: directory.Position{Revision: 11},
+			Items: []carawaycart.StoreItem{testItem("carawaycart/instances/n1-1", 11, `{"instances":[`+test.instances+`]}`)},
+		}, "peer", d.clock.Now())
+		for range 3 {
+			w.Wake()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if got := watches.Load(); got != test.want {
+			t.Errorf("%s: got %d watches, want %d", test.name, got, test.want)
+		}
+		w.Close()
+		store.Close()
+		s.Close()
+	}
+}
+
 // Guards against calls without pause to a store that answers a watch at once.
 func TestWatchThatDoesNotWaitIsNotRepeated(t *testing.T) {
 	d, v := newTestDisseminator(t)
@@ -153,7 +189,7 @@
 	defer s.Close()
 	store := platform.NewStore(s.URL, nil)
 	defer store.Close()
-	w := NewWatcher(store, v, d, d.clock, nil)
+	w := NewWatcher("self", "a", store, v, d, d.clock, nil)
 	defer w.Close()
 	w.RecordRead(directory.Delta{}, v.State().LastReadAt)
 	time.Sleep(200 * time.Millisecond)
