Start endpoints again in the soak

Cause: no soak had endpoints that start again under their IDs, become cold before their entries say so, or do either around a restore of the store or the return of a zone; and no flow in it was idle for longer than a fault suspends the checks of resets.

Change: four kinds of fault and flows with pauses of 4.5 s, in runs of their own, so that the seeds of the other runs keep their series.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,17 +23,21 @@
 	seed   = flag.Uint64("seed", 0, "first `seed` of TestLong; zero uses the current time")
 	runs   = flag.Int("runs", 0, "number of runs of TestLong, with consecutive seeds")
 	faults = flag.Int("faults", 40, "number of faults in a run of TestLong")
+
+	withRestarts = flag.Bool("restarts", true, "whether TestLong includes the faults in restartFaults")
 )
 
 // regressions lists the runs of TestRegressions: a short run for CI, and the seeds of
 // runs that have failed, each with the cause of the failure.
 var regressions = []struct {
-	seed   uint64
-	faults int
-	cause  string
+	seed     uint64
+	faults   int
+	restarts bool // whether restartFaults are included
+	cause    string
 }{
-	{1, 12, "no failure; the short run of CI"},
-	{10, 24, "a zone was taken out at a revision below that known from before a restore of the store, and got new flows"},
+	{1, 12, false, "no failure; the short run of CI"},
+	{10, 24, false, "a zone was taken out at a revision below that known from before a restore of the store, and got new flows"},
+	{1, 12, true, "no failure; the short run of CI with endpoints that start again"},
 }
 
 const (
@@ -41,7 +46,18 @@
 	instancesPerZone  = 2
 	feedsPerZone      = 4
 	requestsPerSecond = 15 // per zone
-	finalRequests     = 60 // requests that must all be answered after the last fault
+
+	// slowFeedsPerZone is the number of flows that are idle for slowFeedPause, longer than
+	// a fault suspends the checks of resets.
+	slowFeedsPerZone = 4
+	slowFeedPause    = 4500 * time.Millisecond
+
+	// coldPeriod and coldReportLag are how long endpoints are cold, and how long after that
+	// began their entries do not tell.
+	coldPeriod    = 2 * time.Second
+	coldReportLag = 1200 * time.Millisecond
+
+	finalRequests = 60 // requests that must all be answered after the last fault
 
 	// rewriteTime is the time in which endpoints write again what a restore has lost.
 	rewriteTime = 2 * time.Second
@@ -104,6 +120,7 @@
 	exits           sync.WaitGroup
 	mu              sync.Mutex // guards command and ended of all processes
 	events          []string   // descriptions of the injected faults
+	faults          []fault    // kinds of faults to choose from
 }
 
 // newRun starts a platform and its instances and waits until all instances are
@@ -317,6 +334,37 @@
 	}},
 }
 
+// restartFaults lists the faults of endpoints that start again or become cold. They are
+// separate from allFaults, so that its seeds keep their series.
+var restartFaults = []fault{
+	{"endpoint restarts", func(_ *run, _ *process, e *standin.Endpoint, _ time.Duration) {
+		e.Restart(coldPeriod)
+	}},
+	{"endpoint restarts twice", func(_ *run, _ *process, e *standin.Endpoint, span time.Duration) {
+		e.Restart(coldPeriod)
+		time.Sleep(span / 4)
+		e.Restart(coldPeriod)
+	}},
+	{"endpoint restarts, store restored", func(r *run, _ *process, e *standin.Endpoint, span time.Duration) {
+		c := r.Store.Copy()
+		e.Restart(coldPeriod)
+		time.Sleep(span)
+		r.Restore(c, span/2)
+		time.Sleep(rewriteTime)
+	}},
+	{"zone out, endpoints become cold", func(r *run, p *process, e *standin.Endpoint, span time.Duration) {
+		r.SetZoneInService(e.Zone, false)
+		time.Sleep(standin.EvacuationTimeLimit + span)
+		for _, other := range r.Endpoints {
+			if other.Zone == e.Zone {
+				other.TurnCold(coldPeriod, coldReportLag)
+			}
+		}
+		r.SetZoneInService(e.Zone, true)
+		r.restart(p, syscall.SIGKILL, span/8)
+	}},
+}
+
 // plannedFaults names the planned changes, during which the time limits of guarantees
 // remain in force.
 var plannedFaults = map[string]bool{"stop": true, "reload": true, "endpoint drains": true, "zone out": true, "configuration": true}
@@ -347,7 +395,7 @@
 		return true
 	}
 	for range n {
-		f := allFaults[r.random.IntN(len(allFaults))]
+		f := r.faults[r.random.IntN(len(r.faults))]
 		p := r.processes[r.random.IntN(len(r.processes))]
 		e := r.Endpoints[r.random.IntN(len(r.Endpoints))]
 		span := time.Duration(200+r.random.IntN(3800)) * time.Millisecond
@@ -356,8 +404,12 @@
 		switch f.name {
 		case "store", "store restored":
 			keys = []any{"store"}
+		case "endpoint restarts, store restored":
+			keys = []any{"store", e}
 		case "zone out":
 			keys = []any{f.name}
+		case "zone out, endpoints become cold":
+			keys = []any{"zone out", p}
 		}
 		time.Sleep(pause)
 		if !reserve(keys...) {
@@ -413,10 +465,16 @@
 	r.t.Log(r.Ledger.Summary())
 }
 
-// runSoak performs one run with the given seed and number of faults.
-func runSoak(t *testing.T, seed uint64, faults int) {
+// runSoak performs one run with the given seed and number of faults, including restartFaults
+// if restarts is true.
+func runSoak(t *testing.T, seed uint64, faults int, restarts bool) {
 	r := newRun(t, seed)
+	r.faults = allFaults
 	r.BeginLoad(feedsPerZone, requestsPerSecond)
+	if restarts {
+		r.faults = slices.Concat(allFaults, restartFaults)
+		r.BeginFeeds(slowFeedsPerZone, slowFeedPause)
+	}
 	r.injectFaults(faults)
 	r.checkRecovery()
 }
@@ -426,9 +484,13 @@
 // runs listed in regressions.
 func TestRegressions(t *testing.T) {
 	for _, c := range regressions {
-		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
+		name := fmt.Sprint(c.seed)
+		if c.restarts {
+			name += " with restarts"
+		}
+		t.Run(name, func(t *testing.T) {
 			t.Log(c.cause)
-			runSoak(t, c.seed, c.faults)
+			runSoak(t, c.seed, c.faults, c.restarts)
 		})
 	}
 }
@@ -445,7 +507,7 @@
 		s := first + uint64(i)
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			runSoak(t, s, *faults)
+			runSoak(t, s, *faults, *withRestarts)
 		})
 	}
 }
