Build the latest lifetimes of a table only when they are needed

Cause: each table listed the latest lifetime of each endpoint, and the check of a restart found by a probe compared times for each candidate, though restarts are rare.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -37,16 +37,15 @@
 	return l.ID == before.ID && l.StartedAt > before.StartedAt && l.Address == before.Address && l.Service == before.Service
 }
 
-// newEndpoint returns the endpoint for the lifetime s at now, whose zone makes it cold until
-// zoneColdUntil. The argument previous is the preceding table, or nil.
-func newEndpoint(s *directory.TrackedLifetime, previous *Table, zoneColdUntil, now time.Time) *endpoint {
-	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, absent: s.Absent, coldUntil: s.ColdUntil, state: &state{}}
+// newEndpoint returns the endpoint for the lifetime s, whose zone makes it cold until
+// zoneColdUntil. The argument previous is the endpoint of the same lifetime in the preceding
+// table, or nil.
+func newEndpoint(s *directory.TrackedLifetime, previous *endpoint, zoneColdUntil time.Time) *endpoint {
+	e := &endpoint{lifetime: s.Lifetime, presence: s.Presence, absent: s.Absent, coldUntil: s.ColdUntil}
 	if previous != nil {
-		if old := previous.byKey[s.Lifetime.Key()]; old != nil {
-			e.state = old.state
-		} else if before := previous.latest[s.Lifetime.ID]; before != nil && e.succeeds(before) {
-			e.state.inheritFlows(before.state, now)
-		}
+		e.state = previous.state
+	} else {
+		e.state = &state{}
 	}
 	if zoneColdUntil.After(e.coldUntil) {
 		e.coldUntil = zoneColdUntil
@@ -54,6 +53,22 @@
 	return e
 }
 
+// maxInheritedFlows limits the flows that inheritFlows takes over. No share is that large.
+const maxInheritedFlows = 100
+
+// inheritFlows counts the flows that were lately forwarded to the lifetime before, if that is
+// not nil and e succeeds it, as forwarded to e at now: the endpoint may have taken them since
+// it started again.
+func (e *endpoint) inheritFlows(before *endpoint, now time.Time) {
+	if before == nil || !e.succeeds(before) {
+		return
+	}
+	before.state.mu.Lock()
+	n := min(before.state.flows.Recent(now), maxInheritedFlows)
+	before.state.mu.Unlock()
+	e.state.recentColdFlows, e.state.coldFlows = slices.Repeat([]time.Time{now}, n), n
+}
+
 // candidate returns the state of e as a candidate for a new flow at now through an
 // instance in zone, and whether its silence is outdated. It leaves Tried unset.
 func (e *endpoint) candidate(zone carawaycart.ZoneID, now time.Time) (c placement.Candidate, outdated bool) {
@@ -73,7 +88,7 @@
 		c.Cold = true
 		c.AtColdLimit = !e.coldShare.Allows(s.recentColdFlows, s.coldFlows, now)
 	}
-	if now.Before(s.restartedUntil) {
+	if s.restarted && now.Before(s.restartedUntil) {
 		c.AtColdLimit = true // its share is unknown until its entry is
 	}
 	return c, outdated
@@ -140,30 +155,17 @@
 	refused        bool      // whether it failed because nothing listens at the address
 	// silenceReportedAt is when a peer last reported the endpoint as silent.
 	silenceReportedAt time.Time
-	avoidUntil        time.Time     // end of the avoidance after the last timeout; zero after an answer
-	answeredAt        time.Time     // when the endpoint last answered
-	recentColdFlows   []time.Time   // when the latest flows were forwarded to it while cold
-	coldFlows         int           // number of flows that were forwarded to it since it became cold
-	outcomeCounts     outcomeCounts // outcomes of requests, observed locally and reported by peers
-	unreported        Outcomes      // local outcomes that have not been reported to peers
-
-	flows placement.FlowCounter // flows that were forwarded to it
-	// restartedUntil is until when the endpoint gets no new flows, because a probe was
-	// answered by a later lifetime.
-	restartedUntil time.Time
-}
-
-// maxInheritedFlows limits the flows that inheritFlows takes over. No share is that large.
-const maxInheritedFlows = 100
-
-// inheritFlows counts the flows that were lately forwarded to the lifetime before, whose state
-// is old, as forwarded to this one at now: the endpoint may have taken them since it started
-// again.
-func (s *state) inheritFlows(old *state, now time.Time) {
-	old.mu.Lock()
-	n := min(old.flows.Recent(now), maxInheritedFlows)
-	old.mu.Unlock()
-	s.recentColdFlows, s.coldFlows = slices.Repeat([]time.Time{now}, n), n
+	avoidUntil        time.Time // end of the avoidance after the last timeout; zero after an answer
+	// restarted tells whether a later lifetime has answered a probe, so that the endpoint
+	// gets no new flows until restartedUntil.
+	restarted       bool
+	restartedUntil  time.Time
+	answeredAt      time.Time             // when the endpoint last answered
+	recentColdFlows []time.Time           // when the latest flows were forwarded to it while cold
+	coldFlows       int                   // number of flows that were forwarded to it since it became cold
+	outcomeCounts   outcomeCounts         // outcomes of requests, observed locally and reported by peers
+	unreported      Outcomes              // local outcomes that have not been reported to peers
+	flows           placement.FlowCounter // flows that were forwarded to it
 }
 
 // recordRestart records at now that a later lifetime has answered a probe, so that the
@@ -172,7 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failedProbes, s.silent = 0, false
-	s.restartedUntil = now.Add(restartNoticePeriod)
+	s.restarted, s.restartedUntil = true, now.Add(restartNoticePeriod)
 }
 
 // recordOutcomes adds outcomes that were observed locally at now.
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -21,8 +21,7 @@
 	removedUntil map[packedAddress]time.Time // when flows on routes that were removed have ended
 	byToken      map[carawaycart.Token]*endpoint
 	byKey        map[carawaycart.LifetimeKey]*endpoint
-	latest       map[carawaycart.EndpointID]*endpoint // latest lifetime of each endpoint
-	zonesOut     map[carawaycart.ZoneID]bool          // zones whose endpoints take no new flows
+	zonesOut     map[carawaycart.ZoneID]bool // zones whose endpoints take no new flows
 
 	policies   map[carawaycart.ServiceID]carawaycart.ServicePolicy
 	admissions map[carawaycart.ServiceID]*admission.Controller // shared by all tables of a router
@@ -140,9 +139,20 @@
 	}
 	t.policies = policies
 	var keys []carawaycart.LifetimeKey
+	var latest map[carawaycart.EndpointID]*endpoint // of previous; nil until it is needed
 	in.Lifetimes.ForEach(func(s *directory.TrackedLifetime) {
 		key := s.Lifetime.Key()
-		e := newEndpoint(s, previous, in.ZonesColdUntil[s.Lifetime.Zone], now)
+		var old *endpoint
+		if previous != nil {
+			old = previous.byKey[key]
+		}
+		e := newEndpoint(s, old, in.ZonesColdUntil[s.Lifetime.Zone])
+		if previous != nil && old == nil {
+			if latest == nil {
+				latest = previous.latest()
+			}
+			e.inheritFlows(latest[key.ID], now)
+		}
 		profile, ok := in.Profiles[s.Lifetime.Service]
 		if ok {
 			e.warmupUntil = e.coldUntil.Add(profile.WarmupSeconds.Duration())
@@ -163,20 +173,31 @@
 	t.linkSuccessors()
 }
 
-// linkSuccessors sets the latest lifetimes of the endpoints, and the successors of those that
-// have ended.
+// linkSuccessors sets the successors of the endpoints that have ended.
 func (t *Table) linkSuccessors() {
-	t.latest = make(map[carawaycart.EndpointID]*endpoint, len(t.byKey))
+	var latest map[carawaycart.EndpointID]*endpoint
 	for _, e := range t.byKey {
-		if l := t.latest[e.lifetime.ID]; l == nil || l.lifetime.StartedAt < e.lifetime.StartedAt {
-			t.latest[e.lifetime.ID] = e
+		if e.presence != directory.Ended {
+			continue
+		}
+		if latest == nil {
+			latest = t.latest()
+		}
+		if l := latest[e.lifetime.ID]; l.succeeds(e) {
+			e.successor = l
 		}
 	}
+}
+
+// latest returns the latest lifetime of each endpoint.
+func (t *Table) latest() map[carawaycart.EndpointID]*endpoint {
+	latest := make(map[carawaycart.EndpointID]*endpoint, len(t.byKey))
 	for _, e := range t.byKey {
-		if l := t.latest[e.lifetime.ID]; e.presence == directory.Ended && l.succeeds(e) {
-			e.successor = l
+		if l := latest[e.lifetime.ID]; l == nil || l.lifetime.StartedAt < e.lifetime.StartedAt {
+			latest[e.lifetime.ID] = e
 		}
 	}
+	return latest
 }
 
 // coldShare returns the share of instance in.Self of the new flows of the cold endpoint
