--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -66,7 +66,7 @@
 	before.state.mu.Lock()
 	n := min(before.state.flows.Recent(now), maxInheritedFlows)
 	before.state.mu.Unlock()
-	e.state.recentColdFlows, e.state.coldFlows = slices.Repeat([]time.Time{now}, n), n
+	e.state.recentColdFlows = slices.Repeat([]time.Time{now}, n)
 }
 
 // candidate returns the state of e as a candidate for a new flow at now through an
@@ -125,8 +125,8 @@
 	SilenceSlack = 400 * time.Millisecond
 
 	// restartNoticePeriod is how long an endpoint that is found to have started again gets no
-	// new flows, unless its entry says so before: the time of a read if the store answers,
-	// and most of the cold time otherwise.
+	// new flows, unless its entry is known before. It covers a read if the store answers, and
+	// a usual cold time otherwise.
 	restartNoticePeriod = 3 * time.Second
 
 	// peerProbeSpan is the time that a peer needs to find an endpoint silent, with two
@@ -262,8 +262,8 @@
 	return period, s.timeouts >= timeoutsBeforeProbe && !s.isSilentLocked(now)
 }
 
-// recordProbe records at now the outcome of a probe that began at began. It reports whether the endpoint became silent or stopped
-// being silent. An endpoint is silent if it answers neither failedProbesBeforeSilent
+// recordProbe records at now the outcome of a probe that began at began. It reports whether
+// the endpoint became silent or stopped being silent. An endpoint is silent if it answers neither failedProbesBeforeSilent
 // consecutive probes nor anything else meanwhile.
 func (s *state) recordProbe(outcome ProbeOutcome, began, now time.Time) (changed bool) {
 	s.mu.Lock()
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -153,8 +153,7 @@
 	p.recovered = make(chan struct{})
 }
 
-// probeOnce probes the endpoint of l at url. An endpoint that accepts
-// the connection is alive, even if it is too busy to answer in time, or is full and resets
+// probeOnce probes the endpoint of l at url. An endpoint that accepts the connection is alive, even if it is too busy to answer in time, or is full and resets
 // the connection, which may be seen before the connection counts as established. It is not
 // alive if the answer has the ID of another endpoint, which may have been given the address
 // since. An answer of a later lifetime says nothing of l but that it has ended.
