Watch the store from two instances instead of one of each zone

Cause: each change of an entry answered the watch of every zone.

Change: besides the instance that reads, the next one in the order of reads watches, and none while reads fail.

Evidence: TestTwoInstancesWatch replaces TestOneInstanceOfEachZoneWatches; it asks for exactly two, in different zones, also while some instances' reads fail. TestRestartedEndpointsAreNotOverrunWithoutReader passes as before.

--- a/core/directory/schedule.go
+++ b/core/directory/schedule.go
@@ -171,9 +171,10 @@
 }
 
 // Watches reports whether the instance watches the store at now although others read it: it
-// comes first in its zone. One instance of each zone thus watches, so that the fleet does not
-// depend on a single one.
+// is one of the first in the order of reads, of the first zone or the second. The fleet thus
+// does not depend on a single instance, and each change answers few. It does not watch while
+// reads fail, since a watch would fail too.
 func Watches(s *ReadState, now time.Time) bool {
-	rank, listed := readRank(s, now)
-	return listed && rank == 0
+	_, listed := readRank(s, now)
+	return listed && s.Failures.sinceRead == 0 && !s.Failures.isFailing(s.Self, now) && readDelay(s, now) <= zoneDelayStep
 }
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -22,8 +22,8 @@
 
 // Watcher watches the items of endpoints in the store, so that the fleet learns at once of
 // endpoints that have started again or become cold. It watches while its instance is the one
-// that reads the store for the fleet, or comes first in its zone. All other changes, and those
-// that a watch misses, are left to the reads.
+// that reads the store for the fleet, or is to read next. All other changes, and those that a
+// watch misses, are left to the reads.
 type Watcher struct {
 	self         carawaycart.InstanceID
 	zone         carawaycart.ZoneID
@@ -96,7 +96,7 @@
 }
 
 // watches reports whether the instance is to watch the store: no other one has read it since,
-// or the instance comes first in its zone.
+// or the instance is one of the first in the order of reads.
 func (w *Watcher) watches() bool {
 	state := w.view.State()
 	w.mu.Lock()
