Log which packet of a flow was refused

Cause: the line of a refused packet told neither a first packet from data nor which copy of a first packet it was, so that a reset of an open flow could not be traced to it. Change: refused has the fields packet (first, data, ack, last) and copy. Evidence: TestRefusedLineTellsThePacket.

--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -36,8 +36,21 @@
 	if reset {
 		outcome = "reset"
 	}
-	o.log.Event("refused").Flow(&p.Key).Text("cause", c.String()).Text("outcome", outcome).
-		Int("token", int64(p.Token)).Int("revision", int64(r)).End()
+	o.log.Event("refused").Flow(&p.Key).Text("packet", kindName(p)).Int("copy", int64(p.Retransmissions)).Text("cause", c.String()).
+		Text("outcome", outcome).Int("token", int64(p.Token)).Int("revision", int64(r)).End()
+}
+
+// kindName returns the name in log lines of what p does in its flow.
+func kindName(p *carawaycart.Packet) string {
+	switch {
+	case p.Kind == carawaycart.PacketFirst:
+		return "first"
+	case p.Kind == carawaycart.PacketLast:
+		return "last"
+	case p.PayloadBytes > 0:
+		return "data"
+	}
+	return "ack"
 }
 
 // Inherited logs that a packet of a flow is forwarded to a later lifetime of its endpoint.
