Reset flows of a removed route only if they were open before the read

Cause: an open flow was reset as soon as its route had been in a table and was missing in the table in force, for 70 s. That the route was removed is known only as of the last read. An instance that has read the removal, and not yet the version that adds the route again, met flows that others had opened on that route since. It could not tell them from flows that were open at the removal.

What callers saw: a reset of an open flow whose endpoint serves, for up to 0.6 s after a route is added again, and for as long as an instance is cut off from the store and from the updates of its peers.

Change: a flow is reset for its route only if the instance has seen it open before a read of the store began that shows the route missing. Otherwise it is forwarded and recorded, within the bounds of the flow table, for the next read to decide. A read that a peer tells of counts as 1 s older than it seems, since the message may have been under way. Reads within 8 s after a restore, and those that do not show the configuration in force, confirm nothing. A packet with an unknown token is dropped on a removed route too, as on all others. First packets on a missing route are reset as before.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -360,8 +360,9 @@
 // Contents holds all items in decoded form; the slices are in order of the
 // items' keys.
 type Contents struct {
-	Config   *carawaycart.RouteConfig // nil if the store has none
-	ZonesOut []carawaycart.ZoneID     // zones that operators have taken out
+	Config         *carawaycart.RouteConfig // nil if the store has none
+	ConfigRetained bool                     // whether Config was in force before a restore, which has removed it from the store
+	ZonesOut       []carawaycart.ZoneID     // zones that operators have taken out
 	// ZoneMarks and ZoneRecords hold the revisions of the operators' marks of zones that are
 	// out, and of the fleet's records of them; see ZoneReturns.
 	ZoneMarks, ZoneRecords map[carawaycart.ZoneID]carawaycart.StoreRevision
@@ -391,7 +392,7 @@
 		e := d.items[key]
 		switch r := e.decoded; {
 		case r.Config != nil:
-			c.Config = r.Config
+			c.Config, c.ConfigRetained = r.Config, e.item.Retained
 		case r.ZoneOut != "":
 			c.ZonesOut = append(c.ZonesOut, r.ZoneOut)
 			c.ZoneMarks[r.ZoneOut] = e.item.Revision
--- a/core/directory/retention.go
+++ b/core/directory/retention.go
@@ -61,3 +61,7 @@
 
 // MayChange reports whether the passing of time alone may change what is kept.
 func (r *Retention) MayChange() bool { return len(r.keptZones)+len(r.keptInstances) > 0 }
+
+// MayLack reports whether a read of the store that began at began may lack what a restore has
+// removed and operators have not had the time to write again.
+func (r *Retention) MayLack(began time.Time) bool { return began.Before(r.until) }
--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -128,9 +128,15 @@
 	}
 }
 
-// setTable builds a new table from the contents for router i, to which only the given
-// members of the fleet are known.
+// setTable lets router i read the contents at now, with only the given members of the fleet.
 func (f *fleet) setTable(i int, members []carawaycart.Registration, now time.Time) {
+	f.buildTable(i, members, now)
+	f.routers[i].Table().RecordRead(now)
+}
+
+// buildTable builds a new table from the contents for router i, to which only the given
+// members of the fleet are known.
+func (f *fleet) buildTable(i int, members []carawaycart.Registration, now time.Time) {
 	c := f.contents
 	c.Instances = members
 	f.routers[i].SetTable(steer.NewTable(&steer.Input{
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -26,10 +26,11 @@
 	// tried holds the endpoints that the first packet was sent to before endpoint,
 	// since the caller last sent it.
 	tried    []*endpoint
-	openedAt time.Time // when the record was created
+	openedAt time.Time // when the record was created; if detached, a time when the flow was open
 	sentAt   time.Time // when the first packet was sent to endpoint
 	lastSeen time.Time // when the instance last received a packet of the flow
 	phase    phase
+	detached bool // whether the record was made while the table had no route for the flow
 	waiting  bool // whether a request is unanswered
 	// abandoned tells whether the unanswered request counts as abandoned by the caller.
 	// The flow then counts neither as waiting nor as open.
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -122,8 +122,8 @@
 
 // Decide returns the decision for packet p at now. Without a routing configuration it
 // drops all packets. An instance with a newer configuration may have opened a flow on a
-// route that the table does not have yet, so open flows are reset only if their route was
-// removed. A flow that sends data to a silent endpoint is reset only if data on an open
+// route that the table does not have yet, or not have again, so open flows are reset only if
+// they were open before a read that showed their route missing. A flow that sends data to a silent endpoint is reset only if data on an open
 // flow was left unanswered too, and if the requests of the route may run more than once,
 // since a reset does not tell the caller whether its request was run. A flow with the token
 // of an earlier lifetime is left to the endpoint if that has started again: the flow may have
@@ -135,10 +135,10 @@
 	}
 	id := newFlowID(&p.Key)
 	route := t.routes[id.service]
-	if route == nil && (p.Kind == carawaycart.PacketFirst || t.isRemoved(id.service, now)) {
-		return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
-	}
 	if p.Kind == carawaycart.PacketFirst {
+		if route == nil {
+			return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
+		}
 		return r.decideFirst(t, route, id, p, now)
 	}
 	owner := t.byToken[p.Token]
@@ -153,6 +153,9 @@
 	case r.hasEnded(id, p, e, now):
 		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
 	case route == nil:
+		if t.isRemoved(id.service, now) && r.wasOpenBeforeRead(t, id, p, e, now) {
+			return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
+		}
 		return forward(e)
 	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now) && (e.state.isDead(now) || r.isResent(id, p, e, now)):
 		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"carawaycart"
@@ -10,15 +11,16 @@
 	"carawaycart/internal/rendezvous"
 )
 
-// Table is a view of the store on which decisions are based. It is immutable, except
-// that it shares the state of endpoints and the admission controllers with the tables before and
-// after it.
+// Table is a view of the store on which decisions are based. It is immutable, except for
+// what RecordRead records, and that it shares the state of endpoints and the admission
+// controllers with the tables before and after it.
 type Table struct {
 	ConfigVersion uint64                    // version of the routing configuration; zero without one
 	Revision      carawaycart.StoreRevision // revision of the store that it was built from
 
 	routes       map[packedAddress]*route    // routes by service address
 	removedUntil map[packedAddress]time.Time // when flows on routes that were removed have ended
+	readAt       atomic.Int64                // latest start of a read that has shown these or earlier routes, in Unix nanoseconds
 	byToken      map[carawaycart.Token]*endpoint
 	byKey        map[carawaycart.LifetimeKey]*endpoint
 	zonesOut     map[carawaycart.ZoneID]bool // zones whose endpoints take no new flows
@@ -84,6 +86,7 @@
 	}
 	if previous != nil {
 		t.admissions = previous.admissions
+		t.readAt.Store(previous.readAt.Load())
 	} else {
 		t.admissions = make(map[carawaycart.ServiceID]*admission.Controller)
 	}
@@ -122,6 +125,18 @@
 	}
 }
 
+// RecordRead records that a read of the store that began at began, or later, has shown the
+// routes of t. It must not be called concurrently.
+func (t *Table) RecordRead(began time.Time) {
+	if n := began.UnixNano(); n > t.readAt.Load() {
+		t.readAt.Store(n)
+	}
+}
+
+// readSince reports whether a read that began after when has shown the routes of t or of a
+// table before it, so that the routes that t lacks were missing at some time after when.
+func (t *Table) readSince(when time.Time) bool { return t.readAt.Load() > when.UnixNano() }
+
 // isRemoved reports whether a route to the service address was removed and flows may still
 // use it at now.
 func (t *Table) isRemoved(service packedAddress, now time.Time) bool {
--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -21,6 +21,10 @@
 	maxEraAdvance      = 1 << 16
 )
 
+// maxUpdateDelay is the longest time that a peer's word of a read is taken to have been under
+// way. The read may have begun earlier by that than it seems.
+const maxUpdateDelay = time.Second
+
 // View is the instance's replica of the platform's store. It rebuilds the router's
 // table when the replica changes. It is safe for concurrent use.
 type View struct {
@@ -104,6 +108,7 @@
 	v.recordRestore(before, "store")
 	if !at.Before(v.directory.Position()) {
 		v.recordRead(began, "store", v.directory.Changes() != changes)
+		v.confirmRoutes(began)
 	}
 	return delta
 }
@@ -124,6 +129,7 @@
 	v.retain(delta.To, delta.Items)
 	if !delta.To.Before(v.directory.Position()) {
 		v.recordRead(began, from, v.directory.Changes() != changes)
+		v.confirmRoutes(began.Add(-maxUpdateDelay))
 	}
 	return true
 }
@@ -172,6 +178,7 @@
 	changed := endedAdded || v.directory.Changes() != changes
 	if !snapshot.At.Before(v.directory.Position()) {
 		v.recordRead(began, from, changed)
+		v.confirmRoutes(began.Add(-maxUpdateDelay))
 	} else if changed {
 		v.rebuild(from, v.clock.Now())
 	}
@@ -243,6 +250,17 @@
 	}
 }
 
+// confirmRoutes records that a read of the store that began at began, or later, has shown the
+// routes of the router's table. It does nothing if they are not those of the store, or if
+// operators may still write what a restore of the store has removed. v.mu must be held.
+func (v *View) confirmRoutes(began time.Time) {
+	t := v.router.Table()
+	if t == nil || v.contents.ConfigRetained || v.retention.MayLack(began) {
+		return
+	}
+	t.RecordRead(began)
+}
+
 // rebuild replaces the router's table with one for the directory as of now. The
 // source of the change is only logged. v.mu must be held.
 func (v *View) rebuild(source string, now time.Time) {
