--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -59,7 +59,7 @@
 	for n := range endpoints {
 		items = append(items, carawaycart.StoreItem{
 			Key: fmt.Sprintf("servers/i-%08x", n+1), Revision: 1,
-			Value: fmt.Appendf(nil, `{"service":"s%d","address":"10.128.%d.%d:80","zone":"%c","slots":2,"state":"ready","cold_left_ms":0,"born":%d}`,
+			Value: fmt.Appendf(nil, `{"service":"s%d","address":"10.128.%d.%d:80","zone":"%c","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq":1,"born":%d}`,
 				n%services, n/250, n%250, 'a'+n%6, n+1),
 		})
 	}
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -48,7 +48,7 @@
 	o.disseminator = d
 	v.ApplyRead(platform.RangeResult{Revision: 10, Items: []carawaycart.StoreItem{{
 		Key: "servers/i-1", Revision: 9,
-		Value: []byte(`{"service":"desk","address":"127.0.0.1:9","zone":"a","slots":2,"state":"ready","cold_left_ms":0}`),
+		Value: []byte(`{"service":"desk","address":"127.0.0.1:9","zone":"a","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq":1,"born":5}`),
 	}}}, clock.Now())
 	tb.Cleanup(func() {
 		d.Close()
@@ -177,7 +177,7 @@
 	items := manyItems()
 	second := carawaycart.StoreItem{
 		Key: "servers/i-2", Revision: 11,
-		Value: []byte(`{"service":"desk","address":"127.0.0.1:10","zone":"a","slots":2,"state":"ready","cold_left_ms":0}`),
+		Value: []byte(`{"service":"desk","address":"127.0.0.1:10","zone":"a","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq":1,"born":5}`),
 	}
 	runningView.ApplyRead(platform.RangeResult{Revision: 11, Items: []carawaycart.StoreItem{second}}, running.clock.Now()) // i-1 has ended
 	runningView.ApplyRead(platform.RangeResult{Revision: 12, Items: items}, running.clock.Now())                           // i-2 has ended
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -27,7 +27,7 @@
 const (
 	testConfig = `{"version":1,"routes":[{"name":"feed","host":"198.18.0.1","prefix":"/8443/","service":"desk","type":"safe"}],` +
 		`"services":[{"name":"desk","health_path":"/health","max_conns":10,"cold_per_s":4}],"limits":{"idle_timeout_ms":30000}}`
-	testEntry = `{"service":"desk","address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready","cold_left_ms":0,"born":5}`
+	testEntry = `{"service":"desk","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq":1,"born":5}`
 )
 
 // viewFixture is a view, with its router, that has read the store at revision 10, which
@@ -221,7 +221,7 @@
 // configuration names. Guards against resetting the flows of the endpoint.
 func TestEntryOfUnknownServiceEndsNoLifetime(t *testing.T) {
 	f := newViewFixture(t)
-	f.read(600*time.Millisecond, 11, testItem("servers/i-1", 11, `{"service":"elsewhere","address":"10.0.0.1:80","zone":"a","slots":2,"state":"ready","cold_left_ms":0,"born":5}`))
+	f.read(600*time.Millisecond, 11, testItem("servers/i-1", 11, `{"service":"elsewhere","address":"10.0.0.1:80","zone":"a","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"seq":1,"born":5}`))
 	f.wantNoReset(t, "after its entry was overwritten")
 }
 
--- a/internal/edge/watcher_test.go
+++ b/internal/edge/watcher_test.go
@@ -21,7 +21,7 @@
 // restartedItem returns the entry, written at revision, of endpoint i-1 of newTestInstance
 // after it has started again, cold.
 func restartedItem(revision carawaycart.StoreRevision) carawaycart.StoreItem {
-	return testItem("servers/i-1", revision, `{"service":"desk","address":"127.0.0.1:9","zone":"a","slots":2,"state":"ready","cold_left_ms":2000,"born":7}`)
+	return testItem("servers/i-1", revision, `{"service":"desk","address":"127.0.0.1:9","zone":"a","version":"v1","slots":2,"state":"ready","cold_left_ms":2000,"seq":1,"born":7}`)
 }
 
 // knowsRestart reports whether the router of d has the lifetime of restartedItem.
