Accept entries without a start where no endpoint writes one

What callers saw: nothing yet; on such a platform all new flows would have been refused.

Change: an entry without born is taken for that of another writer only if most other entries have one. It then keeps the endpoint's flows and gives it no new ones, as an entry of an unknown service does.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -371,7 +371,8 @@
 	Era                    carawaycart.StoreEra
 	Instances              []carawaycart.Registration
 
-	// Unconfigured holds the endpoints whose entries name services that Config does not.
+	// Unconfigured holds the endpoints whose entries are those of other writers: they name
+	// services that Config does not, or lack the start that other entries have.
 	Unconfigured map[carawaycart.EndpointID]bool
 }
 
@@ -405,6 +406,7 @@
 	}
 	c.Instances = d.instances()
 	c.dropUnconfigured()
+	c.dropWithoutStart()
 	return c
 }
 
@@ -449,3 +451,27 @@
 		return !configured[l.Service]
 	})
 }
+
+// dropWithoutStart moves the lifetimes without a start to Unconfigured if most others have
+// one: the endpoints of a platform either all tell it or none does, so that these entries are
+// those of other writers.
+func (c *Contents) dropWithoutStart() {
+	without := 0
+	for _, l := range c.Lifetimes {
+		if l.StartedAt == 0 {
+			without++
+		}
+	}
+	if without == 0 || 2*without >= len(c.Lifetimes) {
+		return
+	}
+	if c.Unconfigured == nil {
+		c.Unconfigured = make(map[carawaycart.EndpointID]bool)
+	}
+	c.Lifetimes = slices.DeleteFunc(c.Lifetimes, func(l *carawaycart.Lifetime) bool {
+		if l.StartedAt == 0 {
+			c.Unconfigured[l.ID] = true
+		}
+		return l.StartedAt == 0
+	})
+}
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -149,6 +149,29 @@
 	}
 }
 
+// An entry without a start must not add an endpoint where the others tell theirs, nor be
+// refused where none does.
+func TestContentsOmitEntryWithoutStart(t *testing.T) {
+	for _, test := range []struct {
+		starts  string // a start for each entry, none if zero
+		omitted int
+	}{
+		{"550", 1}, {"500", 0}, {"50", 0}, {"000", 0}, {"555", 0}, {"0", 0},
+	} {
+		d := directory.New(func(i carawaycart.StoreItem) (carawaycart.DecodedItem, error) {
+			return carawaycart.DecodedItem{Lifetime: lifetime(i.Key, int64(i.Value[0]-'0'), "10.0.0.1:80")}, nil
+		})
+		var items []carawaycart.StoreItem
+		for n, start := range test.starts {
+			items = append(items, item(fmt.Sprintf("i-%d", n+1), string(start), 2))
+		}
+		d.ApplyRead(items, at(2))
+		if c := d.Contents(); len(c.Unconfigured) != test.omitted || len(c.Lifetimes) != len(items)-test.omitted {
+			t.Errorf("starts %s: got %d lifetimes and %v omitted, want %d", test.starts, len(c.Lifetimes), c.Unconfigured, test.omitted)
+		}
+	}
+}
+
 // store models the platform's store, which can be restored from a copy of itself.
 type store struct {
 	items    map[string]carawaycart.StoreItem
