Tell the true age of a read that is relayed after a fetch

It then relayed the ages that the update had when it was received.

What callers saw: nothing that was observed. The peers of the zone took the read for up to 1.5 s later than it was: it could count as one that began after trouble of the store, and end lifetimes whose entries had only lapsed, or as one that shows a route missing after a flow was seen on it.

Change: the ages of the read and of the last failure grow by the time since the update was received, rounded up.

Measured: none; the path of packets is untouched.

--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -324,6 +325,7 @@
 	if busy {
 		return
 	}
+	received := d.clock.Now()
 	d.done.Go(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, fetchTimeout)
 		defer cancel()
@@ -332,11 +334,25 @@
 		d.fetching = false
 		d.mu.Unlock()
 		if ok && update.GetRelay() {
+			addAge(update, d.clock.Now().Sub(received))
 			d.relay(update, d.view.State().Instances)
 		}
 	})
 }
 
+// addAge adds waited, the time since update was received, to the ages in it.
+func addAge(update *message.DirectoryNews, waited time.Duration) {
+	const unit = time.Millisecond
+	add := func(age uint32) uint32 {
+		sum := time.Duration(age)*unit + max(waited, 0) + unit - 1 // rounded up
+		return uint32(min(sum/unit, math.MaxUint32))
+	}
+	update.AgeMs = add(update.GetAgeMs())
+	if update.GetTroubleMs() > 0 {
+		update.TroubleMs = add(update.GetTroubleMs())
+	}
+}
+
 // Join is like Fetch, and also asks the peer to register own.
 func (d *Disseminator) Join(ctx context.Context, address netip.AddrPort, own carawaycart.Registration) bool {
 	r := d.newRequest()
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -69,14 +69,14 @@
 	return items
 }
 
-// serveDirectory serves the calls of peers to d and returns the address.
-func serveDirectory(t *testing.T, d *Disseminator) netip.AddrPort {
+// serveDirectory serves the calls of peers to h and returns the address.
+func serveDirectory(t *testing.T, h peer.DirectoryHandler) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := peer.NewDirectoryServer(listener, d, NewCounters())
+	server, err := peer.NewDirectoryServer(listener, h, NewCounters())
 	if err != nil {
 		t.Fatal(err)
 	}
