Forget unanswered data that is older than the failed probes

Cause: that data on an open flow was left unanswered was held against the endpoint until it answered anything through the same instance. If the flow closed at once, or moved to another instance, nothing asked the endpoint, and the evidence had no end. Two probes that its full queue of new connections left unanswered later counted together with it.

What callers saw: an instance that had not had to do with the endpoint since could reset open flows of repeatable requests there, or all of them if the entry was missing, at their first packet (FLOW).

Data that is sent again on any flow counts anew.

Evidence, on the code before: TestUnansweredDataOfLongAgoIsNoEvidence fails with "listed true: got verdict 3 for silent" and "listed false: got verdict 3 for ended, want the open flow to continue". TestRefusedProbesOfCutDoNotOutliveIt passes before and after: probes that a cut refused already end with it.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -148,11 +148,12 @@
 	timeouts     int  // number of timeouts of first packets or requests since the last answer
 	failedProbes int  // number of probes that failed since the last answer
 	silent       bool // whether the endpoint answered neither packets nor probes; see isSilent
-	// dataUnanswered tells whether data on an open flow was left unanswered since the last
-	// answer. An endpoint may refuse connections because it is full and still serve its flows.
-	dataUnanswered bool
-	probeFailedAt  time.Time // when the last probe failed
-	refused        bool      // whether it failed because nothing listens at the address
+	// dataUnansweredAt is when data on an open flow was last found unanswered, or zero if the
+	// endpoint has answered since or its failed probes are of another time. An endpoint may
+	// refuse connections because it is full and still serve its flows.
+	dataUnansweredAt time.Time
+	probeFailedAt    time.Time // when the last probe failed
+	refused          bool      // whether it failed because nothing listens at the address
 	// silenceReportedAt is when a peer last reported the endpoint as silent.
 	silenceReportedAt time.Time
 	avoidUntil        time.Time // end of the avoidance after the last timeout; zero after an answer
@@ -217,18 +218,18 @@
 // clearLocked records an answer at now, after which nothing speaks against the endpoint.
 // s.mu must be held.
 func (s *state) clearLocked(now time.Time) {
-	s.timeouts, s.failedProbes, s.silent, s.dataUnanswered, s.avoidUntil, s.answeredAt = 0, 0, false, false, time.Time{}, now
+	s.timeouts, s.failedProbes, s.silent, s.dataUnansweredAt, s.avoidUntil, s.answeredAt = 0, 0, false, time.Time{}, time.Time{}, now
 }
 
-// recordUnansweredData records that data that was sent on an open flow at sent is
+// recordUnansweredData records at now that data that was sent on an open flow at sent is
 // unanswered, unless the endpoint has answered anything since, and reports whether it did.
-func (s *state) recordUnansweredData(sent time.Time) bool {
+func (s *state) recordUnansweredData(sent, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.answeredAt.After(sent) {
 		return false
 	}
-	s.dataUnanswered = true
+	s.dataUnansweredAt = now
 	return true
 }
 
@@ -237,7 +238,7 @@
 func (s *state) isDead(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dataUnanswered && s.isSilentLocked(now)
+	return !s.dataUnansweredAt.IsZero() && s.isSilentLocked(now)
 }
 
 // answeredSince reports whether the endpoint has answered anything after when.
@@ -301,13 +302,19 @@
 	return true
 }
 
-// forgetOutdated forgets failed probes, here and at peers, that are too old at now to count
-// together with one that has just failed. s.mu must be held.
+// forgetOutdated forgets failed probes, here and at peers, and unanswered data that are too
+// old at now to count together with a probe that has just failed. s.mu must be held.
 func (s *state) forgetOutdated(now time.Time) {
 	const retention = MaxProbePeriod + SilenceSlack
-	if now.Sub(s.probeFailedAt) > retention && now.Sub(s.silenceReportedAt) > retention {
+	if now.Sub(s.probeFailedAt) <= retention {
+		return
+	}
+	if now.Sub(s.silenceReportedAt) > retention {
 		s.failedProbes, s.silent = 0, false
 	}
+	if now.Sub(s.dataUnansweredAt) > retention {
+		s.dataUnansweredAt = time.Time{}
+	}
 }
 
 // reportedSilent reports whether a peer has found the endpoint silent within
@@ -345,7 +352,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	silent = s.isSilentLocked(now)
-	return silent, silent && (s.refused || s.dataUnanswered), !silent && now.Sub(s.answeredAt) > MaxProbePeriod
+	return silent, silent && (s.refused || !s.dataUnansweredAt.IsZero()), !silent && now.Sub(s.answeredAt) > MaxProbePeriod
 }
 
 // outdateSilence makes the silence of the endpoint, if any, outdated, and reports whether
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -100,7 +100,7 @@
 	r.flows.forEachShard(func(s *flowShard) {
 		for _, f := range s.flows {
 			if f.endpoint.state == e.state && f.waiting && !f.abandoned && now.Sub(f.requestedAt) > minResendInterval {
-				e.state.recordUnansweredData(f.requestedAt)
+				e.state.recordUnansweredData(f.requestedAt, now)
 			}
 		}
 	})
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -472,7 +472,7 @@
 		return
 	}
 	if sentAt := f.lastSeen; now.Sub(sentAt) > minResendInterval {
-		e.state.recordUnansweredData(sentAt)
+		e.state.recordUnansweredData(sentAt, now)
 		r.handleTimeout(e, "data", sentAt, now)
 	}
 }
@@ -484,7 +484,7 @@
 	defer s.mu.Unlock()
 	f := s.flows[id]
 	return f != nil && f.phase == phaseOpen && f.endpoint.state == e.state && int32(p.Sequence-f.sequence) <= 0 &&
-		now.Sub(f.lastSeen) > minResendInterval && e.state.recordUnansweredData(f.lastSeen)
+		now.Sub(f.lastSeen) > minResendInterval && e.state.recordUnansweredData(f.lastSeen, now)
 }
 
 // handleAnswer records an answer of e at now and notifies the observer if a timeout
--- a/core/steer/stale_evidence_test.go
+++ b/core/steer/stale_evidence_test.go
@@ -102,3 +102,64 @@
 		t.Errorf("got verdict %d for %s after the data was sent again, want a reset", got.Verdict, got.Cause)
 	}
 }
+
+// Data on a flow was left unanswered, and the flow closed before anything followed from it.
+// Much later the endpoint, which serves, has a full queue of new connections, so that two
+// probes get no answer. Guards against resetting an open flow on both together, listed or not.
+func TestUnansweredDataOfLongAgoIsNoEvidence(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		f := newFleet(1, 2)
+		r := f.routers[0]
+		d := mustForward(t, r.Decide(first(1, feed), start))
+		r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+		mustForward(t, r.Decide(request(1, feed, d.Token), start.Add(time.Second)))
+		mustForward(t, r.Decide(request(1, feed, d.Token), start.Add(1200*time.Millisecond))) // sent again
+		closing := acknowledgement(1, feed, d.Token)
+		closing.Kind = carawaycart.PacketLast
+		mustForward(t, r.Decide(closing, start.Add(1250*time.Millisecond)))
+		now := start.Add(20 * time.Second)
+		l := f.endpoint(d.Endpoint)
+		if !listed {
+			f.remove(d.Endpoint)
+			f.update(now)
+		}
+		for range 2 {
+			r.RecordProbe(l.Key(), steer.ProbeUnanswered, now, now.Add(150*time.Millisecond))
+			now = now.Add(200 * time.Millisecond)
+		}
+		// A flow that another instance has opened.
+		if got := r.Decide(request(2, feed, d.Token), now); got.Verdict != carawaycart.VerdictForward {
+			t.Errorf("listed %t: got verdict %d for %s, want the open flow to continue", listed, got.Verdict, got.Cause)
+		}
+		if got := r.Decide(request(2, feed, d.Token), now.Add(200*time.Millisecond)); got.Verdict != carawaycart.VerdictReset {
+			t.Errorf("listed %t: got verdict %d after the data was sent again, want a reset", listed, got.Verdict)
+		}
+	}
+}
+
+// A cut refuses the probes of an endpoint whose entry expires meanwhile. Guards against
+// resetting its open flows after the cut on evidence from before its end.
+func TestRefusedProbesOfCutDoNotOutliveIt(t *testing.T) {
+	f := newFleet(1, 2)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	l := f.endpoint(d.Endpoint)
+	f.remove(d.Endpoint)
+	f.update(start.Add(time.Second))
+	now := start.Add(3 * time.Second)
+	for range 2 {
+		r.RecordProbe(l.Key(), steer.ProbeRefused, now, now.Add(time.Millisecond))
+		now = now.Add(50 * time.Millisecond)
+	}
+	now = now.Add(4 * time.Second) // the cut has ended
+	f.events[0].probeRequests = nil
+	mustForward(t, r.Decide(request(1, feed, d.Token), now))
+	if len(f.events[0].probeRequests) == 0 {
+		t.Errorf("got no probe requested, want one of %s", d.Endpoint)
+	}
+	r.RecordProbe(l.Key(), steer.ProbeUnanswered, now, now.Add(150*time.Millisecond)) // lost by chance
+	mustForward(t, r.Decide(request(1, feed, d.Token), now.Add(200*time.Millisecond)))
+	r.RecordProbe(l.Key(), steer.ProbeAnswered, now.Add(200*time.Millisecond), now.Add(202*time.Millisecond))
+	mustForward(t, r.Decide(request(1, feed, d.Token), now.Add(400*time.Millisecond)))
+}
