Ask an endpoint whose entry tells of an earlier start

Cause: the lifetime with the latest start counted as the one that runs, and one with an earlier start under the same ID as ended for certain, even if its entry is the listed one. The order of starts is that of the endpoint's clock, which may have been set back in between.

Change: a lifetime that is listed, but has an earlier start than is known, ends as one whose entry is missing: it takes no new flows, and its flows are reset once its probes are refused.

Evidence, on the code before: TestFlowOfEndpointWhoseClockWasSetBackIsNotReset fails with "got verdict 3 for ended ... want the open flow to continue at 10.0.0.99:80".

Measured: tests of core/steer, core/directory, internal/edge and internal/balancer pass with -race, once.

--- a/core/directory/lifetime_tracker.go
+++ b/core/directory/lifetime_tracker.go
@@ -55,7 +55,8 @@
 	Deadline time.Time
 
 	// Absent tells of an ended lifetime that nothing speaks against it but that its entry
-	// is missing: its endpoint may still run.
+	// is missing, or that it is listed with an earlier start than is known: its endpoint may
+	// still run.
 	Absent bool
 
 	contested    bool // whether its entry, or that of its address, seems to be that of another writer
@@ -143,12 +144,14 @@
 		}
 		s.contested = s.Presence != Ended && (listed && startedAt == key.StartedAt && reassigned || c.Unconfigured[key.ID])
 	}
-	t.endSuperseded(now)
+	t.endSuperseded(startByID, now)
 	t.Tick(now)
 }
 
-// endSuperseded ends the lifetimes whose endpoint has started again and runs.
-func (t *LifetimeTracker) endSuperseded(now time.Time) {
+// endSuperseded ends the lifetimes whose endpoint has started again and runs, by the starts
+// known of it. One that is listed, by startByID, may be the later one although its start
+// is earlier, since the clock of the endpoint may have been set back.
+func (t *LifetimeTracker) endSuperseded(startByID map[carawaycart.EndpointID]carawaycart.UnixMillis, now time.Time) {
 	newest := make(map[carawaycart.EndpointID]carawaycart.UnixMillis, len(t.lifetimes))
 	for key, s := range t.lifetimes {
 		if s.Presence != Ended {
@@ -157,7 +160,8 @@
 	}
 	for key, s := range t.lifetimes {
 		if key.StartedAt < newest[key.ID] {
-			t.markEnded(s, false, now)
+			startedAt, listed := startByID[key.ID]
+			t.markEnded(s, listed && startedAt == key.StartedAt, now)
 		}
 	}
 }
--- a/core/steer/restart_test.go
+++ b/core/steer/restart_test.go
@@ -1,10 +1,12 @@
 package steer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"carawaycart"
+	"carawaycart/core/directory"
 	"carawaycart/core/steer"
 )
 
@@ -126,3 +128,40 @@
 	f.update(now.Add(100 * time.Millisecond))
 	mustForward(t, r.Decide(first(4, feed), now.Add(200*time.Millisecond)))
 }
+
+// An endpoint has started again at another address after its clock was set back, so that its
+// entry tells of an earlier start than before. An instance that has just started opens a flow
+// there, and a packet of it comes through one that knows the former lifetime. Guards against a
+// reset by the order of the starts alone, before the endpoint has been asked.
+func TestFlowOfEndpointWhoseClockWasSetBackIsNotReset(t *testing.T) {
+	f := newFleet(2, 1)
+	r := f.routers[0]
+	before := f.contents.Lifetimes[0]
+	restarted := *before
+	restarted.StartedAt, restarted.Address = before.StartedAt-1, netip.MustParseAddrPort("10.0.0.99:80")
+	f.contents.Lifetimes[0] = &restarted
+	now := start.Add(time.Second)
+	f.update(now)
+
+	started := newFleet(1, 1)
+	started.contents.Lifetimes = f.contents.Lifetimes
+	started.lifetimes = directory.NewLifetimeTracker()
+	started.restart(0)
+	started.update(now)
+	d := mustForward(t, started.routers[0].Decide(first(1, feed), now))
+
+	f.events[0].probeRequests = nil
+	got := r.Decide(request(1, feed, d.Token), now.Add(500*time.Millisecond))
+	if got.Verdict != carawaycart.VerdictForward || got.Address != restarted.Address {
+		t.Fatalf("got verdict %d for %s, address %s, want the open flow to continue at %s", got.Verdict, got.Cause, got.Address, restarted.Address)
+	}
+	if len(f.events[0].probeRequests) == 0 {
+		t.Error("got no probe requested, want the endpoint asked")
+	}
+	for range 2 {
+		r.RecordProbe(restarted.Key(), steer.ProbeRefused, now, now.Add(time.Millisecond))
+	}
+	if got := r.Decide(request(1, feed, d.Token), now.Add(700*time.Millisecond)); got.Cause != carawaycart.CauseEnded {
+		t.Errorf("got verdict %d for %s after two refused probes, want a reset", got.Verdict, got.Cause)
+	}
+}
