Do not reset a flow for a copy of its first packet

Cause: an instance that had to refuse a copy of a first packet (overload, cold or silent endpoints, no endpoint, no route) took the flow for one that is not open. A copy says nothing of that: its flow may have been opened through another instance, or through this one before it started again, and an endpoint that has the first transmission answers directly to the caller. What callers saw: a reset of an open flow whose endpoint is sound. Change: only a first transmission that is not on record here is reset. A copy goes to the endpoint on record if that is warm and takes new flows, and is dropped otherwise; a flow stays on record then. Copies are not refused for overload, since that would leave their callers waiting, and do not count as further new flows. Evidence: on the code before, TestFlowOpenedWhileCopyIsUnderWayIsNotReset and TestFlowOpenedAroundRestartIsNotResetForItsCopy fail with "an instance reset the established flow from 127.27.200.1:1025 although its endpoint is healthy", TestCopyOfFirstPacketDoesNotResetFlowOpenedElsewhere with "all endpoints cold: got verdict 3 for cold on copy 1, want 0" and so for each cause, TestCopyOfForwardedFirstPacketIsNotReset with "all endpoints silent: got verdict 3 for silent on copy 1, want 1", TestOverloadDoesNotRefuseAdmittedFlow with "got verdict 3 for overload on the copy, want it forwarded", TestCopyOfFirstPacketAfterRestartIsNotReset with "got verdict 3 for cold, want the copy dropped". No test had asserted a reset for a copy.

--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -136,9 +136,6 @@
 	id := newFlowID(&p.Key)
 	route := t.routes[id.service]
 	if p.Kind == carawaycart.PacketFirst {
-		if route == nil {
-			return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
-		}
 		return r.decideFirst(t, route, id, p, now)
 	}
 	owner := t.byToken[p.Token]
@@ -198,17 +195,35 @@
 }
 
 // decideFirst returns the decision for p, the first packet of the flow id, which the
-// caller may have sent before.
-func (r *Router) decideFirst(t *Table, route *route, id flowID, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
+// caller may have sent before. The route is nil if there is none.
+//
+// A flow that has to be refused is reset only if no endpoint can have taken it: p is its
+// first transmission, and was not forwarded here. Otherwise an endpoint may have answered
+// directly to the caller, which may have acknowledged that through another instance. A copy
+// is then left to the endpoint that has the flow as far as known here, or dropped.
+func (r *Router) decideFirst(t *Table, via *route, id flowID, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	r.ProcessDeadlines(now)
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
+	f := s.flows[id]
+	isNew := f == nil && p.Retransmissions == 0
+	if via == nil {
+		return r.refuse(p, carawaycart.CauseNoRoute, isNew, t.Revision)
+	}
+	if f != nil && (f.phase == phaseOpen || now.Sub(f.openedAt) < minResendInterval) {
+		f.lastSeen = now
+		return forward(f.endpoint) // a duplicate made by the network
+	}
+	to := r.routeTarget(via)
+	if to == nil {
+		return r.refuse(p, carawaycart.CauseNoEndpoint, isNew, t.Revision)
+	}
+	// A copy is not refused for overload, since that would not end the wait of its caller.
+	if f == nil && r.isOverloaded(to, &p.Key, now) && isNew {
+		return r.refuse(p, carawaycart.CauseOverload, true, t.Revision)
+	}
 	var tried []*endpoint
-	if f := s.flows[id]; f != nil {
-		if f.phase == phaseOpen || now.Sub(f.openedAt) < minResendInterval {
-			f.lastSeen = now
-			return forward(f.endpoint) // a duplicate made by the network
-		}
+	if f != nil {
 		if f.phase == phaseOpening {
 			r.handleTimeout(f.endpoint, "first", f.sentAt, now)
 		}
@@ -216,24 +231,20 @@
 		tried = append(tried, f.endpoint)
 		s.remove(id, f)
 	}
-	to := r.routeTarget(route)
-	if to == nil {
-		return r.refuse(p, carawaycart.CauseNoEndpoint, true, t.Revision)
-	}
-	refused := to.objective.admission.Refuses(p.Key, to.objective.priority, now)
-	if o, changed := to.objective.admission.Report(now); changed {
-		o.Service = to.service
-		r.observer.Overloaded(o)
-	}
-	if refused {
-		return r.refuse(p, carawaycart.CauseOverload, true, t.Revision)
-	}
 	e, cause := r.place(t, to, &p.Key, p.Retransmissions, tried, now)
 	if e == nil {
-		return r.refuse(p, cause, true, t.Revision)
+		if f == nil {
+			return r.refuse(p, cause, isNew, t.Revision)
+		}
+		f.phase, f.lastSeen = phaseUnanswered, now
+		s.flows[id] = f
+		if e = to.warmEndpoint(f.endpoint, r.zone, now); e != nil {
+			return forward(e)
+		}
+		return r.refuse(p, cause, false, t.Revision)
 	}
 	e.recordFlow(now)
-	f := &flow{
+	f = &flow{
 		endpoint: e, openedAt: now, sentAt: now, lastSeen: now, sequence: p.Sequence,
 		objective: to.objective,
 	}
@@ -243,6 +254,17 @@
 	return forward(e)
 }
 
+// isOverloaded reports whether a new flow with the given key is refused at now because of
+// the load of to, and notifies the observer of changes of the load.
+func (r *Router) isOverloaded(to *routeTarget, key *carawaycart.FlowKey, now time.Time) bool {
+	refused := to.objective.admission.Refuses(*key, to.objective.priority, now)
+	if o, changed := to.objective.admission.Report(now); changed {
+		o.Service = to.service
+		r.observer.Overloaded(o)
+	}
+	return refused
+}
+
 // FirstPacketTimeout returns the timeout for the answer to a first packet that is
 // sent to an endpoint in zone. It is estimated from earlier answers of this zone.
 func (r *Router) FirstPacketTimeout(zone carawaycart.ZoneID) time.Duration {
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -43,6 +43,20 @@
 	objective *objective
 }
 
+// warmEndpoint returns the endpoint of t with the lifetime of e if it takes new flows at now
+// without a limit, or nil. The instance is in zone.
+func (t *routeTarget) warmEndpoint(e *endpoint, zone carawaycart.ZoneID, now time.Time) *endpoint {
+	for _, current := range t.endpoints {
+		if current.state == e.state {
+			if c, _ := current.candidate(zone, now); !c.Cold && !c.AtColdLimit {
+				return current
+			}
+			return nil
+		}
+	}
+	return nil
+}
+
 // objective is the priority and target answer time of requests, and the admission
 // control that refuses flows while it is missed.
 type objective struct {
