Count first packets that have waited in the instance as copies

Cause: the first transmission of a first packet shows that nobody else has forwarded the flow only until the caller sends a copy, after 200 ms. A starting instance holds packets for up to 600 ms, and a process that was frozen or got no processor finds old ones in the buffer of its socket. Either was refused as if it had just come. What callers saw: a reset of a flow that a copy had opened through another instance. Change: a packet that was held for 150 ms or longer, or is read when the process has not run for as long, or within 100 ms after that, is not evidence for a reset. The timer of deadlines shows that the process runs. Evidence: without the condition in decideFirst, TestFirstPacketThatHasWaitedIsNotReset fails with "got verdict 3 for cold, want the packet dropped for cold", and TestFirstPacketHeldForLongIsNotReset with "cause=noEndpoint outcome=reset". TestPacketsOfStalledProcessHaveWaited covers the detection of a stall; no test freezes a process. TestBacklogWhileStarting also checks which packets have waited.

--- a/core/steer/backlog.go
+++ b/core/steer/backlog.go
@@ -25,6 +25,12 @@
 	taken     bool            // whether Take was called
 }
 
+// HeldPacket is a packet that was held in a Backlog.
+type HeldPacket struct {
+	Data   []byte
+	Waited bool // whether it was held until its caller may have sent another copy
+}
+
 // backlogPacket is a packet that was received at receivedAt.
 type backlogPacket struct {
 	data       []byte
@@ -51,12 +57,12 @@
 // Take ends the backlog and returns its packets in the order of their arrival, except
 // those that are older than maxBacklogAge at now. It also returns the number of packets
 // that were discarded for their age or because the backlog was full.
-func (b *Backlog) Take(now time.Time) (packets [][]byte, discarded int) {
+func (b *Backlog) Take(now time.Time) (packets []HeldPacket, discarded int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.packets {
-		if now.Sub(p.receivedAt) <= maxBacklogAge {
-			packets = append(packets, p.data)
+		if age := now.Sub(p.receivedAt); age <= maxBacklogAge {
+			packets = append(packets, HeldPacket{Data: p.data, Waited: age >= minResendInterval})
 		}
 	}
 	discarded = b.discarded + len(b.packets) - len(packets)
--- a/core/steer/backlog_test.go
+++ b/core/steer/backlog_test.go
@@ -40,9 +40,13 @@
 			t.Errorf("%s: got %d packets discarded, want %d", test.name, discarded, want)
 		}
 		for i, p := range got {
-			if n := binary.BigEndian.Uint32(p); n != uint32(test.wantFirst+i) {
+			n := binary.BigEndian.Uint32(p.Data)
+			if n != uint32(test.wantFirst+i) {
 				t.Fatalf("%s: got packet %d at %d, want %d", test.name, n, i, test.wantFirst+i)
 			}
+			if age := test.start - time.Duration(n)*test.every; p.Waited != (age >= 150*time.Millisecond) {
+				t.Errorf("%s: got packet %d waited %t after %s", test.name, n, p.Waited, age)
+			}
 		}
 		got, discarded = b.Take(start.Add(test.start))
 		if b.Add(data, start.Add(test.start)) || len(got) != 0 || discarded != 0 {
--- a/core/steer/first_packet_test.go
+++ b/core/steer/first_packet_test.go
@@ -190,3 +190,15 @@
 		t.Errorf("got verdict %d for %s, want the copy dropped", got.Verdict, got.Cause)
 	}
 }
+
+// A first transmission has waited in the instance while a copy opened the flow through
+// another. Guards against taking it for the only one.
+func TestFirstPacketThatHasWaitedIsNotReset(t *testing.T) {
+	f := newFleet(1, 2)
+	exhaustColdShares(t, f, 0, start)
+	p := first(1, feed)
+	p.Waited = true
+	if got := f.routers[0].Decide(p, start); got.Verdict != carawaycart.VerdictDrop || got.Cause != carawaycart.CauseCold {
+		t.Errorf("got verdict %d for %s, want the packet dropped for cold", got.Verdict, got.Cause)
+	}
+}
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -198,7 +198,7 @@
 // caller may have sent before. The route is nil if there is none.
 //
 // A flow that has to be refused is reset only if no endpoint can have taken it: p is its
-// first transmission, and was not forwarded here. Otherwise an endpoint may have answered
+// first transmission, has not waited, and was not forwarded here. Otherwise an endpoint may have answered
 // directly to the caller, which may have acknowledged that through another instance. A copy
 // is then left to the endpoint that has the flow as far as known here, or dropped.
 func (r *Router) decideFirst(t *Table, via *route, id flowID, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
@@ -206,7 +206,7 @@
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
 	f := s.flows[id]
-	isNew := f == nil && p.Retransmissions == 0
+	isNew := f == nil && p.Retransmissions == 0 && !p.Waited
 	if via == nil {
 		return r.refuse(p, carawaycart.CauseNoRoute, isNew, t.Revision)
 	}
--- a/flow.go
+++ b/flow.go
@@ -62,6 +62,7 @@
 	Acknowledged    uint32 // TCP acknowledgement number
 	PayloadBytes    int
 	Retransmissions int  // number of earlier transmissions of a first packet
+	Waited          bool // may have waited in the instance until the caller sent another copy
 	Reset           bool // ends the flow immediately
 }
 
--- a/internal/edge/backlog.go
+++ b/internal/edge/backlog.go
@@ -7,7 +7,6 @@
 	"carawaycart"
 	"carawaycart/core/steer"
 	"carawaycart/internal/eventlog"
-	"carawaycart/io/fabric"
 )
 
 // backlogSender forwards the packets of a backlog as soon as the router can decide on
@@ -19,7 +18,7 @@
 
 // newBacklogSender returns a sender that translates the packets in b with t, and sends
 // the results on conn, once r has a routing configuration.
-func newBacklogSender(b *steer.Backlog, r *steer.Router, t fabric.Translator, conn *net.UDPConn, k carawaycart.Clock, log *eventlog.Log) *backlogSender {
+func newBacklogSender(b *steer.Backlog, r *steer.Router, t *translator, conn *net.UDPConn, k carawaycart.Clock, log *eventlog.Log) *backlogSender {
 	s := &backlogSender{stop: make(chan struct{})}
 	s.done.Go(func() {
 		select {
@@ -30,7 +29,8 @@
 		sent := 0
 		packets, discarded := b.Take(k.Now())
 		for _, p := range packets {
-			if data, to, ok := t.Translate(p); ok {
+			t.waited = p.Waited
+			if data, to, ok := t.Translate(p.Data); ok {
 				if _, err := conn.WriteToUDPAddrPort(data, to); err == nil {
 					sent++
 				}
--- a/internal/edge/deadlines.go
+++ b/internal/edge/deadlines.go
@@ -13,14 +13,14 @@
 const deadlineResolution = 50 * time.Millisecond
 
 // deadlineTimer lets a router process the deadlines of requests, independently of
-// packets.
+// packets, and shows a stallDetector that the process runs.
 type deadlineTimer struct {
 	stop chan struct{} // closed by close
 	done sync.WaitGroup
 }
 
-// newDeadlineTimer returns a timer for r that runs until close is called.
-func newDeadlineTimer(r *steer.Router, k carawaycart.Clock) *deadlineTimer {
+// newDeadlineTimer returns a timer for r and d that runs until close is called.
+func newDeadlineTimer(r *steer.Router, d *stallDetector, k carawaycart.Clock) *deadlineTimer {
 	t := &deadlineTimer{stop: make(chan struct{})}
 	t.done.Go(func() {
 		ticker := time.NewTicker(deadlineResolution)
@@ -30,7 +30,9 @@
 			case <-t.stop:
 				return
 			case <-ticker.C:
-				r.ProcessDeadlines(k.Now())
+				now := k.Now()
+				d.tick(now)
+				r.ProcessDeadlines(now)
 			}
 		}
 	})
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -98,14 +98,15 @@
 		sockets.close()
 		return nil, err
 	}
-	backlog := &steer.Backlog{}
-	newTranslator := func() fabric.Translator {
+	backlog, stalls := &steer.Backlog{}, newStallDetector(clock.Now())
+	newTranslator := func() *translator {
 		return &translator{
-			router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger, backlog: backlog, log: log,
+			router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger,
+			backlog: backlog, stalls: stalls, log: log,
 		}
 	}
 	e.backlogSender = newBacklogSender(backlog, e.router, newTranslator(), sockets.Fabric, clock, log)
-	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, newTranslator)
+	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, func() fabric.Translator { return newTranslator() })
 	e.counters.RegisterViewGauges(
 		func() int64 { return int64(e.view.State().Position.Revision) },
 		func() int64 { return clock.Now().Sub(e.view.State().LastReadAt).Milliseconds() },
@@ -113,7 +114,7 @@
 	)
 	e.readyServer = newReadyServer(sockets.Ready, platform.ReadyPath, e.Ready)
 	e.operatorServer = operator.NewServer(sockets.Operator, e, e.counters.Registry)
-	e.timer = newDeadlineTimer(e.router, clock)
+	e.timer = newDeadlineTimer(e.router, stalls, clock)
 	e.watcher = NewWatcher(s.ID, s.Zone, e.store, e.view, e.disseminator, clock, log)
 	e.reader = NewReader(s, e.store, e.view, e.disseminator, e.registrar, e.watcher, clock, log)
 	e.loading.Store(e.reader)
--- a/internal/edge/translator.go
+++ b/internal/edge/translator.go
@@ -21,7 +21,9 @@
 	lastPacket *atomic.Int64 // time of the last packet, in Unix nanoseconds of clock
 	hedger     *Hedger
 	backlog    *steer.Backlog // holds packets until the router has a configuration
+	stalls     *stallDetector
 	log        *eventlog.Log
+	waited     bool               // whether the packets to translate have waited; see carawaycart.Packet
 	packet     carawaycart.Packet // decoded packet, reused between calls
 }
 
@@ -49,6 +51,7 @@
 	if !t.router.Table().HasConfig() && t.backlog.Add(b, now) {
 		return nil, netip.AddrPort{}, false
 	}
+	p.Waited = t.waited || p.Kind == carawaycart.PacketFirst && t.stalls.mayHaveWaited(now)
 	d := t.router.Decide(p, now)
 	t.counters.CountDecision(&d, time.Since(began))
 	switch d.Verdict {
