--- /dev/null
+++ b/internal/edge/stray_test.go
@@ -0,0 +1,78 @@
+package edge_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"carawaycart/platform/standin"
+)
+
+// feedsWithBudget starts the given number of flows, whose callers send a request after each
+// pause and wait longer for the answer than a flow may stray. It stops them when the test
+// ends, or when stop is called.
+func (f *fleet) feedsWithBudget(t *testing.T, feeds int, pause time.Duration) (stop func()) {
+	t.Helper()
+	const work, budget = 5 * time.Millisecond, 4 * time.Second
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	for range feeds {
+		running.Go(func() { f.Callers[0].Feed(standin.FeedAddress, work, budget, pause, done) })
+	}
+	stop = sync.OnceFunc(func() {
+		close(done)
+		running.Wait()
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
+// checkNoStrays reports violations, resets of open flows and requests that were not answered.
+func (f *fleet) checkNoStrays(t *testing.T) {
+	t.Helper()
+	f.checkLedger(t)
+	if l := f.Ledger; l.Unknown > 0 || l.FlowsReset > 0 {
+		t.Errorf("got %s, want all requests answered and no open flow reset", l.Summary())
+	}
+}
+
+// Endpoints answer first packets late, and an instance joins and leaves, so that copies of
+// first packets and their acknowledgements reach other instances. Callers keep to the first
+// answer. Guards against sending the packets of a flow to an endpoint at which it is not open.
+func TestFlowsOpenedDuringRehashDoNotStray(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3, 3)
+	f.openDuringRehash(t)
+	f.checkNoStrays(t)
+}
+
+// openDuringRehash opens flows for some seconds while an instance joins and leaves.
+func (f *fleet) openDuringRehash(t *testing.T) {
+	t.Helper()
+	f.Routers.SetHashMode(true)
+	for n, e := range f.Endpoints {
+		e.SetAnswerDelay(time.Duration(100+n*100) * time.Millisecond)
+	}
+	var opening sync.WaitGroup
+	stop := make(chan struct{})
+	for range 8 {
+		opening.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					f.Callers[0].SendKeyed(standin.KeyedAddress, 5*time.Millisecond, 4*time.Second)
+				}
+			}
+		})
+	}
+	stopFeeds := f.feedsWithBudget(t, 8, 100*time.Millisecond)
+	for n := range 40 {
+		f.Routers.SetExcluded(f.instances[2].machine.InstanceID, n%2 == 0)
+		time.Sleep(130 * time.Millisecond)
+	}
+	close(stop)
+	opening.Wait()
+	stopFeeds()
+}
