Keep an open flow at its endpoint when a late answer changes its token

Cause: a first packet goes to several endpoints, as a hedge or as a copy through another instance after a change of the rotation. An instance that had sent a copy did not notice either that the caller acknowledged another endpoint: it hedged the open flow.

What callers saw: requests on the flow got no answer until their time was over, and the flow was reset if the late endpoint had ended (FLOW).

Change: an instance that has seen the acknowledgement of an answer forwards packets of this flow, told by their sequence and acknowledgement numbers, to the endpoint that gave the answer, and writes its token into them, so that the caller receives it again. The acknowledgement also ends hedges of a copy that another endpoint got.

Not mended: a flow that moves to an instance that has not seen its handshake, before its endpoint has sent another packet.

--- a/core/steer/detached.go
+++ b/core/steer/detached.go
@@ -37,7 +37,7 @@
 	f := &flow{endpoint: e, openedAt: now, lastSeen: now, phase: phaseOpen, detached: true}
 	if old := s.flows[id]; old != nil {
 		if old.phase == phaseOpen && old.endpoint.state == e.state {
-			f.openedAt = old.lastSeen
+			f.openedAt, f.openSeen = old.lastSeen, old.openSeen
 		}
 		s.remove(id, old)
 	}
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -27,10 +27,11 @@
 	// since the caller last sent it.
 	tried    []*endpoint
 	openedAt time.Time // when the record was created; if detached, a time when the flow was open
-	sentAt   time.Time // when the first packet was sent to endpoint
+	sentAt   time.Time // when the first packet was sent to endpoint; zero if another instance sent it
 	lastSeen time.Time // when the instance last received a packet of the flow
 	phase    phase
 	detached bool // whether the record was made while the table had no route for the flow
+	openSeen bool // whether this instance has seen the end of the handshake with endpoint
 	waiting  bool // whether a request is unanswered
 	// abandoned tells whether the unanswered request counts as abandoned by the caller.
 	// The flow then counts neither as waiting nor as open.
@@ -43,6 +44,22 @@
 	acknowledged uint32     // highest acknowledgement number from the caller
 }
 
+// maxNumberDistance is the distance of two sequence or acknowledgement numbers up to which they
+// are taken to be of the same flow. Flows begin with random numbers.
+const maxNumberDistance = 1 << 20
+
+// isOwn reports whether p is a packet of f by its numbers, whatever its token, and f is open
+// at its endpoint for certain.
+func (f *flow) isOwn(p *carawaycart.Packet) bool {
+	return f.openSeen && p.Sequence-f.sequence+maxNumberDistance <= 2*maxNumberDistance && p.Acknowledged-f.acknowledged+maxNumberDistance <= 2*maxNumberDistance
+}
+
+// isHandshake reports whether p, which is not the first packet of f, only acknowledges the
+// answer to that. Its token is that of the endpoint which gave the answer.
+func (f *flow) isHandshake(p *carawaycart.Packet) bool {
+	return p.Kind != carawaycart.PacketLast && p.PayloadBytes == 0 && p.Sequence == f.sequence+1
+}
+
 // phase is the state of a flow with respect to its first packet.
 type phase uint8
 
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -123,11 +123,12 @@
 // Decide returns the decision for packet p at now. Without a routing configuration it
 // drops all packets. An instance with a newer configuration may have opened a flow on a
 // route that the table does not have yet, or not have again, so open flows are reset only if
-// they were open before a read that showed their route missing. A flow that sends data to a silent endpoint is reset only if data on an open
-// flow was left unanswered too, and if the requests of the route may run more than once,
-// since a reset does not tell the caller whether its request was run. A flow with the token
-// of an earlier lifetime is left to the endpoint if that has started again: the flow may have
-// been opened since.
+// they were open before a read that showed their route missing. A flow that sends data to a
+// silent endpoint is reset only if data on an open flow was left unanswered too, and if the
+// requests of the route may run more than once, since a reset does not tell the caller whether
+// its request was run. A flow with the token of an earlier lifetime is left to the endpoint if
+// that has started again: the flow may have been opened since. The token of another endpoint
+// does not move a flow that this instance has seen open.
 func (r *Router) Decide(p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	t := r.table.Load()
 	if !t.HasConfig() {
@@ -139,8 +140,35 @@
 		return r.decideFirst(t, route, id, p, now)
 	}
 	owner := t.byToken[p.Token]
+	e, cause := r.ownerNow(route, id, p, owner, now)
+	if cause == carawaycart.CauseNone && route != nil && e == owner && r.trackPacket(id, p, route, e, now) {
+		return forward(e)
+	}
+	opened := r.openedAt(t, id, p, owner)
+	if opened != nil {
+		owner = opened
+		if e, cause = r.ownerNow(route, id, p, owner, now); cause == carawaycart.CauseNone && route != nil && e == owner {
+			r.trackPacket(id, p, route, e, now)
+		}
+	}
+	switch {
+	case cause != carawaycart.CauseNone:
+		return r.refuse(p, cause, cause != carawaycart.CauseUnknownToken, t.Revision)
+	case route == nil && t.isRemoved(id.service, now) && r.wasOpenBeforeRead(t, id, p, e, now):
+		return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
+	case route != nil && e != owner:
+		return r.forwardInherited(id, p, owner, e)
+	}
+	d := forward(e)
+	d.TokenReplaced = opened != nil
+	return d
+}
+
+// ownerNow returns the endpoint that has the flows of owner at now, or the cause for which p, a
+// packet of the flow id, is not forwarded to it.
+func (r *Router) ownerNow(route *route, id flowID, p *carawaycart.Packet, owner *endpoint, now time.Time) (*endpoint, carawaycart.Cause) {
 	if owner == nil {
-		return r.refuse(p, carawaycart.CauseUnknownToken, false, t.Revision)
+		return nil, carawaycart.CauseUnknownToken
 	}
 	e := owner
 	if owner.successor != nil {
@@ -148,19 +176,26 @@
 	}
 	switch {
 	case r.hasEnded(id, p, e, now):
-		return r.refuse(p, carawaycart.CauseEnded, true, t.Revision)
-	case route == nil:
-		if t.isRemoved(id.service, now) && r.wasOpenBeforeRead(t, id, p, e, now) {
-			return r.refuse(p, carawaycart.CauseNoRoute, true, t.Revision)
-		}
-		return forward(e)
-	case p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now) && (e.state.isDead(now) || r.isResent(id, p, e, now)):
-		return r.refuse(p, carawaycart.CauseSilent, true, t.Revision)
-	case e != owner:
-		return r.forwardInherited(id, p, owner, e)
+		return e, carawaycart.CauseEnded
+	case route != nil && p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now) && (e.state.isDead(now) || r.isResent(id, p, e, now)):
+		return e, carawaycart.CauseSilent
 	}
-	r.trackPacket(id, p, route, e, now)
-	return forward(e)
+	return e, carawaycart.CauseNone
+}
+
+// openedAt returns the endpoint in t at which the flow id is open, if owner, which has the
+// token of p, is another. It returns nil if this instance has not seen the flow open, or the
+// numbers in p are not near those of the flow. The first packet of a flow may have been sent
+// to several endpoints, and the caller may send the token of the last one that answered, which
+// does not move the flow.
+func (r *Router) openedAt(t *Table, id flowID, p *carawaycart.Packet, owner *endpoint) *endpoint {
+	s := r.flows.lockShard(id)
+	defer s.mu.Unlock()
+	f := s.flows[id]
+	if f == nil || owner != nil && f.endpoint.state == owner.state || !f.isOwn(p) {
+		return nil
+	}
+	return t.byKey[f.endpoint.lifetime.Key()]
 }
 
 // forwardInherited returns the decision to forward p, a packet of the flow id with the token
@@ -198,9 +233,10 @@
 // caller may have sent before. The route is nil if there is none.
 //
 // A flow that has to be refused is reset only if no endpoint can have taken it: p is its
-// first transmission, has not waited, and was not forwarded here. Otherwise an endpoint may have answered
-// directly to the caller, which may have acknowledged that through another instance. A copy
-// is then left to the endpoint that has the flow as far as known here, or dropped.
+// first transmission, has not waited, and was not forwarded here. Otherwise an endpoint may
+// have answered directly to the caller, which may have acknowledged that through another
+// instance. A copy is then left to the endpoint that has the flow as far as known here, or
+// dropped.
 func (r *Router) decideFirst(t *Table, via *route, id flowID, p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	r.ProcessDeadlines(now)
 	s := r.flows.lockShard(id)
@@ -419,19 +455,30 @@
 
 // trackPacket updates the record of the flow id, and the state of its endpoint e, with
 // p, which is not the first packet. It adds a record if there is none for the flow at
-// e and p carries data.
-func (r *Router) trackPacket(id flowID, p *carawaycart.Packet, via *route, e *endpoint, now time.Time) {
+// e and p carries data. It returns false, and changes nothing, if the flow is open at another
+// endpoint.
+func (r *Router) trackPacket(id flowID, p *carawaycart.Packet, via *route, e *endpoint, now time.Time) bool {
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
 	f := s.flows[id]
-	if f != nil && f.phase != phaseOpen && isTried(f.tried, e) {
-		// An endpoint that was tried earlier answered first.
-		f.endpoint.state.adjustCounts(-boolToInt(f.phase == phaseOpening), 0, 0)
-		f.phase, f.endpoint, f.sentAt = phaseUnanswered, e, f.openedAt
+	if f != nil && f.phase != phaseOpen && f.endpoint.state != e.state {
+		tried := isTried(f.tried, e)
+		if tried || f.isHandshake(p) {
+			// An endpoint that was tried earlier, here or through another instance, answered
+			// first.
+			f.endpoint.state.adjustCounts(-boolToInt(f.phase == phaseOpening), 0, 0)
+			f.phase, f.endpoint, f.sentAt = phaseUnanswered, e, time.Time{}
+			if tried {
+				f.sentAt = f.openedAt
+			}
+		}
 	}
 	if f == nil || f.endpoint.state != e.state {
+		if f != nil && f.isOwn(p) {
+			return false
+		}
 		if p.PayloadBytes == 0 || p.Kind == carawaycart.PacketLast {
-			return
+			return true
 		}
 		if f != nil {
 			s.remove(id, f)
@@ -442,7 +489,7 @@
 			f.objective = via.targets[0].objective
 		}
 		if !s.insert(id, f, now) {
-			return
+			return true
 		}
 		e.state.adjustCounts(0, 0, 1)
 	}
@@ -451,6 +498,7 @@
 	if p.Kind == carawaycart.PacketLast {
 		s.remove(id, f)
 	}
+	return true
 }
 
 // updateFlow updates f and the state of its endpoint with packet p. The first one after
@@ -461,11 +509,13 @@
 	e := f.endpoint
 	if f.phase != phaseOpen {
 		e.state.adjustCounts(-boolToInt(f.phase == phaseOpening), 0, 1)
-		f.phase = phaseOpen
+		f.phase, f.openSeen = phaseOpen, f.isHandshake(p)
 		f.acknowledged = p.Acknowledged
-		r.mu.Lock()
-		r.estimatorFor(e.lifetime.Zone).Observe(now.Sub(f.sentAt))
-		r.mu.Unlock()
+		if !f.sentAt.IsZero() {
+			r.mu.Lock()
+			r.estimatorFor(e.lifetime.Zone).Observe(now.Sub(f.sentAt))
+			r.mu.Unlock()
+		}
 		r.handleAnswer(e, now)
 	}
 	// The difference as an int32 orders numbers that wrap around at 2^32.
--- a/flow.go
+++ b/flow.go
@@ -150,10 +150,11 @@
 
 	// The fields below are set only by formats whose packets carry a Token.
 
-	Token   Token          // token to write into a first packet
-	Zone    ZoneID         // zone of Endpoint
-	Number  EndpointNumber // number of Endpoint
-	Address netip.AddrPort
+	Token         Token          // token to write into a first packet
+	TokenReplaced bool           // whether to write Token into another packet too
+	Zone          ZoneID         // zone of Endpoint
+	Number        EndpointNumber // number of Endpoint
+	Address       netip.AddrPort
 }
 
 // FlowRecord states which endpoint owns a flow that the base endpoint of its slot
--- a/internal/edge/stray_test.go
+++ b/internal/edge/stray_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,23 @@
 	}
 }
 
+// An endpoint answers first packets late, so that another opens the flows, and callers then
+// send the token of the last answer. Guards against sending the packets of these flows to
+// the late endpoint.
+func TestLateAnswerDoesNotMoveOpenFlow(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2, 1)
+	f.KeepLastEcho()
+	f.Endpoints[0].SetAnswerDelay(180 * time.Millisecond)
+	stop := f.feedsWithBudget(t, 8, 300*time.Millisecond)
+	f.awaitRequests(t, 150)
+	stop()
+	f.checkNoStrays(t)
+	if !strings.Contains(f.instances[0].logLines.String(), "hedge=1") {
+		t.Error("got no first packet that was sent to a second endpoint, so that the test shows nothing")
+	}
+}
+
 // Endpoints answer first packets late, and an instance joins and leaves, so that copies of
 // first packets and their acknowledgements reach other instances. Callers keep to the first
 // answer. Guards against sending the packets of a flow to an endpoint at which it is not open.
--- a/internal/edge/translator.go
+++ b/internal/edge/translator.go
@@ -56,7 +56,7 @@
 	t.counters.CountDecision(&d, time.Since(began))
 	switch d.Verdict {
 	case carawaycart.VerdictForward:
-		if p.Kind == carawaycart.PacketFirst {
+		if p.Kind == carawaycart.PacketFirst || d.TokenReplaced {
 			platform.SetToken(data, d.Token)
 		}
 		platform.PutEndpointNumber(b, d.Number)
