Log packets with the token of another endpoint than that of their flow

Cause: whether a packet strayed could not be told from the log: placed lines name the endpoints that a first packet was sent to, and nothing names the one that later packets go to.

What callers saw: nothing; those who looked for a lost flow found no trace of it.

Change: an otherToken line names the endpoint of the record, the one that the packet goes to, and the token.

Evidence: TestLateAnswerDoesNotMoveFlow and TestTokenDecidesWithoutHandshake count the reports; TestLateAnswerDoesNotMoveOpenFlow finds the line.

--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -26,6 +26,7 @@
 	hedged          int
 	avoided         int
 	inherited       int
+	otherTokens     int
 	probeRequests   []carawaycart.EndpointID
 	silentEndpoints map[carawaycart.EndpointID]bool
 	failing         []steer.Outcomes
@@ -50,6 +51,10 @@
 func (e *events) Inherited(*carawaycart.Packet, *carawaycart.Lifetime, *carawaycart.Lifetime) {
 	e.inherited++
 }
+
+func (e *events) OtherToken(*carawaycart.Packet, carawaycart.EndpointID, carawaycart.EndpointID) {
+	e.otherTokens++
+}
 func (e *events) Avoided(carawaycart.EndpointID, string, time.Duration) { e.avoided++ }
 func (e *events) ProbeRequested(l *carawaycart.Lifetime) {
 	e.probeRequests = append(e.probeRequests, l.ID)
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -42,6 +42,10 @@
 	// Inherited is called when a packet with the token of before, which has ended, is
 	// forwarded to after, the latest lifetime of the same endpoint.
 	Inherited(p *carawaycart.Packet, before, after *carawaycart.Lifetime)
+	// OtherToken is called when p, whose flow is at recorded by the record of this instance,
+	// comes with the token of another endpoint. It is forwarded to the endpoint to, which is
+	// recorded if this instance has seen the flow open there.
+	OtherToken(p *carawaycart.Packet, recorded, to carawaycart.EndpointID)
 	// Avoided is called when an endpoint is avoided for period because it did not
 	// answer a packet. The packet is a first packet if what is "first", or data if what
 	// is "data".
@@ -160,7 +164,10 @@
 		return r.forwardInherited(id, p, owner, e)
 	}
 	d := forward(e)
-	d.TokenReplaced = opened != nil
+	if opened != nil {
+		d.TokenReplaced = true
+		r.observer.OtherToken(p, opened.lifetime.ID, e.lifetime.ID)
+	}
 	return d
 }
 
@@ -481,6 +488,7 @@
 			return true
 		}
 		if f != nil {
+			r.observer.OtherToken(p, f.endpoint.lifetime.ID, e.lifetime.ID)
 			s.remove(id, f)
 		}
 		// The sequence number before that of p makes the data of p a new request.
--- a/core/steer/stray_test.go
+++ b/core/steer/stray_test.go
@@ -47,6 +47,9 @@
 			r.Decide(acknowledgement(1, feed, open.Token), start.Add(35*time.Millisecond))
 			checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(50*time.Millisecond)), open)
 			checkStays(t, r.Decide(answered(1, feed, late.Token), start.Add(90*time.Millisecond)), open)
+			if n := f.events[0].otherTokens; n != 2 {
+				t.Errorf("got %d reports of packets with another token, want 2", n)
+			}
 			if d := r.Decide(answered(1, feed, open.Token), start.Add(100*time.Millisecond)); d.Endpoint != open.Endpoint || d.TokenReplaced {
 				t.Errorf("got %s, token replaced %t, want the packet forwarded to %s as it is", d.Endpoint, d.TokenReplaced, open.Endpoint)
 			}
@@ -103,4 +106,7 @@
 	if d := mustForward(t, other.Decide(request(1, feed, open.Token), start.Add(250*time.Millisecond))); d.Endpoint != open.Endpoint {
 		t.Errorf("got %s, want %s by the token of the packet", d.Endpoint, open.Endpoint)
 	}
+	if n := f.events[1].otherTokens; n != 1 {
+		t.Errorf("got %d reports of packets with another token, want 1", n)
+	}
 }
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -59,6 +59,11 @@
 		Int("bornBefore", int64(before.StartedAt)).Int("born", int64(after.StartedAt)).End()
 }
 
+// OtherToken logs that a packet carries the token of another endpoint than that of its flow.
+func (o *observer) OtherToken(p *carawaycart.Packet, recorded, to carawaycart.EndpointID) {
+	o.log.Event("otherToken").Flow(&p.Key).Text("endpoint", string(to)).Text("recorded", string(recorded)).Int("token", int64(p.Token)).End()
+}
+
 // Avoided logs that an endpoint is avoided for period because it left a packet
 // unanswered: a first packet if what is "first", data if it is "data".
 func (o *observer) Avoided(e carawaycart.EndpointID, what string, period time.Duration) {
--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -21,7 +21,8 @@
 		{"read after the tick", []time.Duration{50 * time.Millisecond, time.Second}, 1001 * time.Millisecond, true},
 		{"read after two ticks", []time.Duration{50 * time.Millisecond, time.Second, 1050 * time.Millisecond}, 1051 * time.Millisecond, true},
 		{
-			"buffer has been read", []time.Duration{50 * time.Millisecond, time.Second, 1050 * time.Millisecond, 1100 * time.Millisecond},
+			"buffer has been read",
+			[]time.Duration{50 * time.Millisecond, time.Second, 1050 * time.Millisecond, 1100 * time.Millisecond},
 			1101 * time.Millisecond, false,
 		},
 	} {
--- a/internal/edge/stray_test.go
+++ b/internal/edge/stray_test.go
@@ -49,9 +49,13 @@
 	f.awaitRequests(t, 150)
 	stop()
 	f.checkNoStrays(t)
-	if !strings.Contains(f.instances[0].logLines.String(), "hedge=1") {
+	log := f.instances[0].logLines.String()
+	if !strings.Contains(log, "hedge=1") {
 		t.Error("got no first packet that was sent to a second endpoint, so that the test shows nothing")
 	}
+	if !strings.Contains(log, "event=otherToken") {
+		t.Error("got no log line for a packet with the token of the late endpoint")
+	}
 }
 
 // Endpoints answer first packets late, and an instance joins and leaves, so that copies of
