List the flows that stray when a late answer meets a change of the rotation

Cause: an instance that has not seen the handshake has only the token, which a caller that sends the token of its last answer has changed. Until the endpoint of the flow sends again, nothing tells the instance where the flow is open.

What callers saw: on the emulator, requests on such a flow get no answer.

--- a/internal/edge/stray_test.go
+++ b/internal/edge/stray_test.go
@@ -98,3 +98,12 @@
 	opening.Wait()
 	stopFeeds()
 }
+
+// Like TestFlowsOpenedDuringRehashDoNotStray, but callers send the token of the last answer.
+func TestLateAnswersDuringRehash(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 3, 3)
+	f.KeepLastEcho()
+	f.openDuringRehash(t)
+	f.checkNoStrays(t)
+}
