Hold only resent data against an endpoint that answers no probe

Cause: a request that waits counted as data that its endpoint has left unanswered, also if no packet of it was sent again: after its timeout (ProcessDeadlines), and as soon as the endpoint was found silent (TakeStranded). An instance sees the answer only by the caller's acknowledgement.

What callers saw: if two probes of the former instance went unanswered, as with a full queue of new connections, it reset the flow, and other repeatable flows of the endpoint at their first packet there, while the endpoint served (FLOW).

Change: data is unanswered if the caller sends it again, which callers do after 200 ms unless it was acknowledged. The first request without an answer still asks for a probe. Flows whose last packet came longer ago than 1.6 s, the longest time between two transmissions, may have moved and are not reset. TestDarkEndpointIsFoundFromOneRequest asked for a reset without a second packet, which is the fault; it asks for the probe without one, and for the reset in the same time once the caller has sent its data again.

--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -60,6 +60,16 @@
 	return p.Kind != carawaycart.PacketLast && p.PayloadBytes == 0 && p.Sequence == f.sequence+1
 }
 
+// maxResendInterval is the longest time between two transmissions of the same data.
+const maxResendInterval = 1600 * time.Millisecond
+
+// waitsHere reports whether a request of f is unanswered at now as far as this instance knows.
+// A flow without packets for longer than its caller waits to resend may have moved to another
+// instance and been answered there.
+func (f *flow) waitsHere(now time.Time) bool {
+	return f.waiting && !f.abandoned && now.Sub(f.lastSeen) <= maxResendInterval
+}
+
 // phase is the state of a flow with respect to its first packet.
 type phase uint8
 
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -124,7 +124,7 @@
 		if f := s.flows[q.id]; f != nil && f.waiting && f.requestedAt.Equal(q.requestedAt) {
 			f.endpoint.state.recordOutcomes(1, 0, now)
 			r.scheduleReport(f.endpoint)
-			if f.endpoint.state.recordUnansweredData(f.requestedAt, now) {
+			if !f.endpoint.state.answeredSince(f.requestedAt) {
 				r.observer.ProbeRequested(&f.endpoint.lifetime)
 			}
 			q.deadline = now.Add(abandonTimeout)
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -83,34 +83,23 @@
 	}
 }
 
-// TakeStranded returns a packet of each flow whose request waits for the endpoint with
-// the given key, which is silent at now and has left data on an open flow unanswered, if
-// the request may run more than once. It
-// removes the records of these flows, which are to be reset: a caller that waits for
-// its own timeout may have no time left to try again.
+// TakeStranded returns a packet of each flow whose request waits here for the endpoint with
+// the given key, which is silent at now and has left data on an open flow unanswered, if the
+// request may run more than once. It removes the records of these flows, which are to be
+// reset: a caller that waits for its own timeout may have no time left to try again.
 func (r *Router) TakeStranded(key carawaycart.LifetimeKey, now time.Time) []carawaycart.Packet {
 	t := r.table.Load()
 	if t == nil || t.byKey[key] == nil {
 		return nil
 	}
 	e := t.byKey[key]
-	if silent, _ := e.state.isSilent(now); !silent {
-		return nil
-	}
-	r.flows.forEachShard(func(s *flowShard) {
-		for _, f := range s.flows {
-			if f.endpoint.state == e.state && f.waiting && !f.abandoned && now.Sub(f.requestedAt) > minResendInterval {
-				e.state.recordUnansweredData(f.requestedAt, now)
-			}
-		}
-	})
 	if !e.state.isDead(now) {
 		return nil
 	}
 	var stranded []carawaycart.Packet
 	r.flows.forEachShard(func(s *flowShard) {
 		for id, f := range s.flows {
-			if f.endpoint.state == e.state && f.waiting && !f.abandoned && f.objective != nil && f.objective.repeatable {
+			if f.endpoint.state == e.state && f.waitsHere(now) && f.objective != nil && f.objective.repeatable {
 				p := carawaycart.Packet{Key: id.key(), Token: e.token, Acknowledged: f.acknowledged}
 				r.observer.Refused(&p, carawaycart.CauseSilent, true, t.Revision)
 				stranded = append(stranded, p)
--- a/core/steer/silence_test.go
+++ b/core/steer/silence_test.go
@@ -195,6 +195,7 @@
 		if waited := now.Sub(sent); waited > 600*time.Millisecond {
 			t.Fatalf("%s: got no probe within %v of the request", test.name, waited)
 		}
+		r.Decide(request(1, test.service, d.Token), now) // callers send again what is not acknowledged
 		k := f.endpoint(d.Endpoint).Key()
 		r.RecordProbe(k, steer.ProbeUnanswered, now, now.Add(150*time.Millisecond))
 		if got := r.TakeStranded(k, now.Add(150*time.Millisecond)); len(got) != 0 {
--- a/core/steer/stale_evidence_test.go
+++ b/core/steer/stale_evidence_test.go
@@ -163,3 +163,58 @@
 	r.RecordProbe(l.Key(), steer.ProbeAnswered, now.Add(200*time.Millisecond), now.Add(202*time.Millisecond))
 	mustForward(t, r.Decide(request(1, feed, d.Token), now.Add(400*time.Millisecond)))
 }
+
+// The request of a flow waits here while the flow moves to another instance, as after a change
+// of the rotation, and is answered there. Its endpoint, which serves, has a full queue of new
+// connections, so that two probes get no answer. Guards against resetting the flow, or another
+// one at its first packet here, for a request that only seems to be unanswered.
+func TestFlowThatMovedToAnotherInstanceIsNotReset(t *testing.T) {
+	for _, moved := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		f := newFleet(2, 2)
+		r, other := f.routers[0], f.routers[1]
+		d := mustForward(t, r.Decide(first(1, feed), start))
+		r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+		mustForward(t, r.Decide(request(1, feed, d.Token), start.Add(10*time.Millisecond)))
+		now := start.Add(50 * time.Millisecond)
+		for p := answered(1, feed, d.Token); now.Before(start.Add(moved)); now = now.Add(50 * time.Millisecond) {
+			mustForward(t, other.Decide(p, now))
+			p.Acknowledged += 1000
+			r.ProcessDeadlines(now)
+		}
+		l := f.endpoint(d.Endpoint)
+		for range 2 {
+			r.RecordProbe(l.Key(), steer.ProbeUnanswered, now, now.Add(150*time.Millisecond))
+			now = now.Add(200 * time.Millisecond)
+		}
+		if got := r.TakeStranded(l.Key(), now); len(got) > 0 {
+			t.Errorf("moved for %v: got %d flows reset, want none", moved, len(got))
+		}
+		mustForward(t, r.Decide(request(2, feed, d.Token), now))
+	}
+}
+
+// An endpoint has gone dark: data on one flow was sent again without an answer. Guards against
+// resetting another flow whose last packet came here longer ago than its caller would have
+// sent the data again, so that the flow has moved.
+func TestFlowWithoutResentDataIsNotStranded(t *testing.T) {
+	f := newFleet(1, 1)
+	r := f.routers[0]
+	var d carawaycart.Decision
+	for n := 1; n <= 2; n++ {
+		d = mustForward(t, r.Decide(first(n, feed), start))
+		r.Decide(acknowledgement(n, feed, d.Token), start.Add(8*time.Millisecond))
+	}
+	mustForward(t, r.Decide(request(1, feed, d.Token), start.Add(10*time.Millisecond)))
+	now := start.Add(1500 * time.Millisecond)
+	mustForward(t, r.Decide(request(2, feed, d.Token), now))
+	now = now.Add(200 * time.Millisecond)
+	mustForward(t, r.Decide(request(2, feed, d.Token), now))
+	l := f.endpoint(d.Endpoint)
+	for range 2 {
+		r.RecordProbe(l.Key(), steer.ProbeUnanswered, now, now.Add(150*time.Millisecond))
+		now = now.Add(200 * time.Millisecond)
+	}
+	if got := r.TakeStranded(l.Key(), now); len(got) != 1 || got[0].Key != first(2, feed).Key {
+		t.Errorf("got %v reset, want the flow whose data was sent again", got)
+	}
+}
