Omit entries without a start once most others have had one

Cause: whether endpoints tell their starts was judged by the entries of the moment. When those of the endpoints have expired, as in an outage of the store, an entry of another writer without a start is no longer in the minority.

What callers saw: nothing yet; new flows could be sent to the endpoint that such an entry names.

Change: once most entries have had a start, none without is accepted.

Evidence: TestEntryWithoutStartIsOmittedOnceOthersHadOne fails on the code before with "2 entries: got 2 lifetimes and map[] omitted, want i-1 omitted". An instance that starts while only such an entry is there still takes it.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -27,6 +27,7 @@
 	refusals       []Refusal
 	lost           []carawaycart.StoreItem
 	removals       removalLog
+	tellsStarts    bool // whether most entries of endpoints have ever had a start
 }
 
 // Refusal is an item that could not be decoded.
@@ -406,7 +407,9 @@
 	}
 	c.Instances = d.instances()
 	c.dropUnconfigured()
-	c.dropWithoutStart()
+	if d.tellsStarts = d.tellsStarts || c.mostHaveStart(); d.tellsStarts {
+		c.dropWithoutStart()
+	}
 	return c
 }
 
@@ -452,19 +455,20 @@
 	})
 }
 
-// dropWithoutStart moves the lifetimes without a start to Unconfigured if most others have
-// one: the endpoints of a platform either all tell it or none does, so that these entries are
-// those of other writers.
-func (c *Contents) dropWithoutStart() {
+// mostHaveStart reports whether most lifetimes have a start. The endpoints of a platform
+// either all tell theirs or none does, so that entries without are then those of other writers.
+func (c *Contents) mostHaveStart() bool {
 	without := 0
 	for _, l := range c.Lifetimes {
 		if l.StartedAt == 0 {
 			without++
 		}
 	}
-	if without == 0 || 2*without >= len(c.Lifetimes) {
-		return
-	}
+	return 2*without < len(c.Lifetimes)
+}
+
+// dropWithoutStart moves the lifetimes without a start to Unconfigured.
+func (c *Contents) dropWithoutStart() {
 	if c.Unconfigured == nil {
 		c.Unconfigured = make(map[carawaycart.EndpointID]bool)
 	}
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -172,6 +172,21 @@
 	}
 }
 
+// The entries of endpoints have expired, and one without a start is left. Guards against taking
+// it for that of an endpoint because no other entry has a start any more.
+func TestEntryWithoutStartIsOmittedOnceOthersHadOne(t *testing.T) {
+	d := directory.New(func(i carawaycart.StoreItem) (carawaycart.DecodedItem, error) {
+		return carawaycart.DecodedItem{Lifetime: lifetime(i.Key, int64(i.Value[0]-'0'), "10.0.0.1:80")}, nil
+	})
+	items := []carawaycart.StoreItem{item("i-1", "0", 2), item("i-2", "5", 2), item("i-3", "5", 2)}
+	for _, left := range [][]carawaycart.StoreItem{items, items[:2], items[:1]} {
+		d.ApplyRead(left, at(d.Position().Revision+1))
+		if c := d.Contents(); len(c.Lifetimes) != len(left)-1 || !c.Unconfigured["i-1"] {
+			t.Errorf("%d entries: got %d lifetimes and %v omitted, want i-1 omitted", len(left), len(c.Lifetimes), c.Unconfigured)
+		}
+	}
+}
+
 // store models the platform's store, which can be restored from a copy of itself.
 type store struct {
 	items    map[string]carawaycart.StoreItem
