Tell flows from a reused port from the earlier one on record

Cause: the record of a flow was taken for that of any later one between the same addresses and ports, for as long as it was kept, 15 s or more.

What callers saw: nothing observed; callers use a new port for each flow. A flow could be reset for a removed route since an earlier one was open before the read, or its first packet sent to an endpoint that has ended.

Change: a record holds only for packets whose sequence and acknowledgement numbers are near its own.

--- a/core/steer/detached.go
+++ b/core/steer/detached.go
@@ -14,8 +14,8 @@
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
 	f := s.flows[id]
-	if f == nil || !f.detached || f.endpoint.state != e.state {
-		if f = s.detach(id, e, now); f == nil {
+	if f == nil || !f.detached || f.endpoint.state != e.state || !f.hasNumbersNear(p) {
+		if f = s.detach(id, p, e, now); f == nil {
 			return false
 		}
 		f.sequence, f.acknowledged = p.Sequence-1, p.Acknowledged
@@ -31,12 +31,12 @@
 	return false
 }
 
-// detach replaces the record of the flow id, if any, by one of a flow that is open at e at
+// detach replaces the record of the flow id, if any, by one of a flow that is open at e by p at
 // now and has no route. It returns nil if there is no room for the record. s.mu must be held.
-func (s *flowShard) detach(id flowID, e *endpoint, now time.Time) *flow {
+func (s *flowShard) detach(id flowID, p *carawaycart.Packet, e *endpoint, now time.Time) *flow {
 	f := &flow{endpoint: e, openedAt: now, lastSeen: now, phase: phaseOpen, detached: true}
 	if old := s.flows[id]; old != nil {
-		if old.phase == phaseOpen && old.endpoint.state == e.state {
+		if old.phase == phaseOpen && old.endpoint.state == e.state && old.hasNumbersNear(p) {
 			f.openedAt, f.openSeen = old.lastSeen, old.openSeen
 		}
 		s.remove(id, old)
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -51,9 +51,19 @@
 // isOwn reports whether p is a packet of f by its numbers, whatever its token, and f is open
 // at its endpoint for certain.
 func (f *flow) isOwn(p *carawaycart.Packet) bool {
-	return f.openSeen && p.Sequence-f.sequence+maxNumberDistance <= 2*maxNumberDistance && p.Acknowledged-f.acknowledged+maxNumberDistance <= 2*maxNumberDistance
+	return f.openSeen && f.hasNumbersNear(p)
 }
 
+// hasNumbersNear reports whether the numbers in p are near those of f. Otherwise p is of
+// another flow with the same addresses.
+func (f *flow) hasNumbersNear(p *carawaycart.Packet) bool {
+	return areNear(p.Sequence, f.sequence) && areNear(p.Acknowledged, f.acknowledged)
+}
+
+// areNear reports whether the sequence or acknowledgement numbers a and b may be of the same
+// flow.
+func areNear(a, b uint32) bool { return a-b+maxNumberDistance <= 2*maxNumberDistance }
+
 // isHandshake reports whether p, which is not the first packet of f, only acknowledges the
 // answer to that. Its token is that of the endpoint which gave the answer.
 func (f *flow) isHandshake(p *carawaycart.Packet) bool {
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -249,6 +249,10 @@
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
 	f := s.flows[id]
+	if f != nil && !areNear(p.Sequence, f.sequence) {
+		s.remove(id, f) // the record is of an earlier flow from the same port
+		f = nil
+	}
 	isNew := f == nil && p.Retransmissions == 0 && !p.Waited
 	if via == nil {
 		return r.refuse(p, carawaycart.CauseNoRoute, isNew, t.Revision)
