Let a flow leave the endpoint that only seemed to have opened it

Cause: an instance takes the first acknowledgement of a flow for the end of the handshake. If that came through another instance, it may be a second one, which answers the late answer of another endpoint. The flow was then kept at that endpoint through this instance, whatever token the caller sent.

What callers saw: nothing observed; of callers that send the token of the last answer, requests through this instance got no answer.

Change: two packets in a row that acknowledge new data with the token of the same other endpoint show that the flow is open there.

Evidence: TestLateAcknowledgementDoesNotKeepFlowElsewhere fails on the code before with "got 5 packets with the token of i-01 sent elsewhere, want one at most".

--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -485,7 +485,7 @@
 		}
 	}
 	if f == nil || f.endpoint.state != e.state {
-		if f != nil && f.isOwn(p) {
+		if f != nil && f.isOwn(p) && !f.isElsewhere(p, e) {
 			return false
 		}
 		if p.PayloadBytes == 0 || p.Kind == carawaycart.PacketLast {
@@ -505,6 +505,9 @@
 		}
 		e.state.adjustCounts(0, 0, 1)
 	}
+	if p.Token == e.token {
+		f.elsewhere = nil
+	}
 	r.updateFlow(id, f, p, now)
 	f.lastSeen = now
 	if p.Kind == carawaycart.PacketLast {
--- a/core/steer/stray_test.go
+++ b/core/steer/stray_test.go
@@ -110,3 +110,29 @@
 		t.Errorf("got %d reports of packets with another token, want 1", n)
 	}
 }
+
+// The handshake comes through another instance, and a second acknowledgement, with the token of
+// an endpoint that answered late, through this one. Guards against keeping the flow at the late
+// endpoint although the caller sends the token of the one that serves it.
+func TestLateAcknowledgementDoesNotKeepFlowElsewhere(t *testing.T) {
+	f := newFleet(2, 4)
+	open := mustForward(t, f.routers[0].Decide(first(1, feed), start))
+	r := f.routers[1]
+	late := mustForward(t, r.Decide(first(1, feed), start.Add(200*time.Millisecond)))
+	if late.Endpoint == open.Endpoint {
+		t.Fatalf("got both first packets sent to %s, want two endpoints", open.Endpoint)
+	}
+	f.routers[0].Decide(acknowledgement(1, feed, open.Token), start.Add(205*time.Millisecond))
+	r.Decide(acknowledgement(1, feed, late.Token), start.Add(210*time.Millisecond))
+	astray := 0
+	for n := range 5 {
+		p := answered(1, feed, open.Token)
+		p.Acknowledged += uint32(1000 * n)
+		if d := mustForward(t, r.Decide(p, start.Add(time.Duration(300+100*n)*time.Millisecond))); d.Endpoint != open.Endpoint {
+			astray++
+		}
+	}
+	if astray > 1 {
+		t.Errorf("got %d packets with the token of %s sent elsewhere, want one at most", astray, open.Endpoint)
+	}
+}
