Tell all instances of a restart that a probe finds

Cause: while the store fails, only a probe tells that an endpoint has started again, and an instance probes an endpoint only if it has left packets of its own unanswered. What one probe had found stayed with its instance.

What callers saw: a cold endpoint, which started again while the store failed, got new flows at its usual rate through all other instances until the store was read, and answered late.

Change: the instance whose probe is answered by a later lifetime tells the token of the earlier one to the peers of its zone, and to the others through relays. They send the endpoint no new flow until its entry is known, for 3 s at most. Told again meanwhile, they do not extend that. The word of a peer resets no flow and ends no silence.

What remains: if no instance probes, nobody knows.

--- a/core/steer/endpoint.go
+++ b/core/steer/endpoint.go
@@ -157,8 +157,8 @@
 	// silenceReportedAt is when a peer last reported the endpoint as silent.
 	silenceReportedAt time.Time
 	avoidUntil        time.Time // end of the avoidance after the last timeout; zero after an answer
-	// restarted tells whether a later lifetime has answered a probe, so that the endpoint
-	// gets no new flows until restartedUntil.
+	// restarted tells whether a later lifetime has answered a probe, here or at a peer, so
+	// that the endpoint gets no new flows until restartedUntil.
 	restarted       bool
 	restartedUntil  time.Time
 	answeredAt      time.Time             // when the endpoint last answered
@@ -170,12 +170,24 @@
 }
 
 // recordRestart records at now that a later lifetime has answered a probe, so that the
-// endpoint answers but may be cold.
-func (s *state) recordRestart(now time.Time) {
+// endpoint answers but may be cold. It reports whether that was not known.
+func (s *state) recordRestart(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	known := s.restarted && now.Before(s.restartedUntil)
 	s.failedProbes, s.silent = 0, false
 	s.restarted, s.restartedUntil = true, now.Add(restartNoticePeriod)
+	return !known
+}
+
+// recordPeerRestart records at now that a later lifetime has answered a probe of a peer,
+// which says nothing of the own path to the endpoint.
+func (s *state) recordPeerRestart(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.restarted || !now.Before(s.restartedUntil) {
+		s.restarted, s.restartedUntil = true, now.Add(restartNoticePeriod)
+	}
 }
 
 // recordOutcomes adds outcomes that were observed locally at now.
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -52,6 +52,7 @@
 	Silent    bool // whether the endpoint became silent
 	Recovered bool // whether the endpoint was silent and answers again
 	Reported  bool // whether a peer has lately reported the endpoint as silent
+	Restarted bool // whether the endpoint has started again, which was not known
 }
 
 // RecordProbe records at now the outcome of a probe that began at began. Probes of unknown or
@@ -69,8 +70,7 @@
 		return ProbeResult{}
 	}
 	if outcome == ProbeRestarted {
-		e.state.recordRestart(now)
-		return ProbeResult{}
+		return ProbeResult{Restarted: e.state.recordRestart(now)}
 	}
 	alive := outcome == ProbeAnswered
 	changed := e.state.recordProbe(outcome, began, now)
@@ -130,6 +130,18 @@
 	return !found
 }
 
+// RecordRestart records at now that a peer has found by a probe that the endpoint with the
+// given token has started again. It does nothing if the lifetime is unknown or has ended.
+func (r *Router) RecordRestart(token carawaycart.Token, now time.Time) {
+	t := r.table.Load()
+	if t == nil {
+		return
+	}
+	if e := t.byToken[token]; e != nil && e.presence != directory.Ended {
+		e.state.recordPeerRestart(now)
+	}
+}
+
 // RequestProbe requests at now a probe of the endpoint with the given token, which a
 // peer has found silent. The probes of the peer count as one that failed here, so that
 // the next one decides, unless the endpoint has answered here meanwhile. It does nothing
--- a/core/steer/restart_test.go
+++ b/core/steer/restart_test.go
@@ -165,3 +165,33 @@
 		t.Errorf("got verdict %d for %s after two refused probes, want a reset", got.Verdict, got.Cause)
 	}
 }
+
+// A probe of a peer was answered by a later lifetime. Guards against new flows at their usual
+// rate through instances that have not probed the endpoint, against resetting its flows,
+// against no flows for ever if peers tell of it again, and against taking the word of a peer
+// for an answer here.
+func TestEndpointFoundRestartedByPeerGetsNoNewFlows(t *testing.T) {
+	f := newFleet(1, 1)
+	r := f.routers[0]
+	d := mustForward(t, r.Decide(first(1, feed), start))
+	r.Decide(acknowledgement(1, feed, d.Token), start.Add(8*time.Millisecond))
+	now := start.Add(time.Second)
+	for n := range 3 {
+		r.RecordRestart(d.Token, now.Add(time.Duration(n)*time.Second))
+		if got := r.Decide(first(2+n, feed), now.Add(time.Duration(n)*time.Second)); got.Cause != carawaycart.CauseCold {
+			t.Errorf("got verdict %d for %s, want a reset for cold", got.Verdict, got.Cause)
+		}
+	}
+	mustForward(t, r.Decide(request(1, feed, d.Token), now))
+	mustForward(t, r.Decide(first(5, feed), now.Add(3*time.Second)))
+	makeSilent(t, f, 0, d.Endpoint, now.Add(4*time.Second))
+	r.RecordRestart(d.Token, now.Add(4*time.Second))
+	if !r.Endpoints(now.Add(4 * time.Second))[0].Silent {
+		t.Error("got the endpoint no longer silent by the word of a peer")
+	}
+	f.endpoint(d.Endpoint).StartedAt++
+	f.update(now.Add(5 * time.Second))
+	r.RecordRestart(d.Token, now.Add(5*time.Second)) // which has ended
+	r.RecordRestart(d.Token+1, now.Add(5*time.Second))
+	mustForward(t, r.Decide(first(6, feed), now.Add(5*time.Second)))
+}
--- a/internal/edge/disseminator_test.go
+++ b/internal/edge/disseminator_test.go
@@ -38,7 +38,7 @@
 	o := &observer{counters: counters, prober: prober}
 	r := steer.NewRouter("a", rand.NewPCG(1, 1), o)
 	prober.router = r
-	prober.reset, prober.notifySilent = func([]carawaycart.Packet) {}, func(carawaycart.Token) {}
+	prober.reset, prober.notifySilent, prober.notifyRestarted = func([]carawaycart.Packet) {}, func(carawaycart.Token) {}, func(carawaycart.Token) {}
 	prober.loading = func() bool { return false }
 	v := NewView("self", steer.ColdLimits{}, r, clock, nil)
 	own := carawaycart.Registration{ID: "self", Zone: "a", PeerAddress: conn.LocalAddr().(*net.UDPAddr).AddrPort()}
@@ -99,6 +99,7 @@
 	seed(&message.DirectoryNews{From: "n", SilentTokens: []uint32{0, 1, 1<<32 - 1}})
 	seed(&message.DirectoryNews{From: "n", Outcomes: []*message.EndpointOutcomes{{Token: 1, Failed: 1<<32 - 1, Answered: 1<<32 - 1}, nil}})
 	seed(&message.DirectoryNews{From: "n", FailedRead: true, Relay: true})
+	seed(&message.DirectoryNews{From: "n", Ahead: true, Relay: true, RestartedTokens: []uint32{0, 1, 1<<32 - 1}})
 	seed(&message.DirectoryNews{From: "n", FromRevision: 10, ToRevision: 12, Relay: true, Items: []*message.StoreItem{{Key: "servers/i-2", Value: []byte("{"), Revision: 12}}})
 	f.Add([]byte("\xff\xff"))
 	d, v := newTestDisseminator(f)
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -88,7 +88,7 @@
 		r := e.loading.Load()
 		return e.disseminator.Sending() || r != nil && r.Loading()
 	}
-	e.prober.notifySilent = e.disseminator.BroadcastSilent
+	e.prober.notifySilent, e.prober.notifyRestarted = e.disseminator.BroadcastSilent, e.disseminator.BroadcastRestart
 	e.prober.reset = (&resetter{conn: sockets.Fabric, port: s.FabricAddress.Port(), counters: e.counters, log: log}).reset
 	var err error
 	if e.peerServer, err = peer.NewDirectoryServer(sockets.Peer, e.disseminator, e.counters); err != nil {
--- a/internal/edge/prober.go
+++ b/internal/edge/prober.go
@@ -35,17 +35,18 @@
 // Prober sends health checks to endpoints that left packets unanswered, here or at a
 // peer.
 type Prober struct {
-	router       *steer.Router
-	notifySilent func(carawaycart.Token)    // informs peers that an endpoint is silent
-	reset        func([]carawaycart.Packet) // resets the flows of packets
-	loading      func() bool                // whether a large transfer may fill the own link
-	clock        carawaycart.Clock
-	counters     *Counters
-	log          *eventlog.Log
-	client       *http.Client
-	ctx          context.Context
-	cancel       context.CancelFunc
-	done         sync.WaitGroup
+	router          *steer.Router
+	notifySilent    func(carawaycart.Token)    // informs peers that an endpoint is silent
+	notifyRestarted func(carawaycart.Token)    // informs peers that an endpoint has started again
+	reset           func([]carawaycart.Packet) // resets the flows of packets
+	loading         func() bool                // whether a large transfer may fill the own link
+	clock           carawaycart.Clock
+	counters        *Counters
+	log             *eventlog.Log
+	client          *http.Client
+	ctx             context.Context
+	cancel          context.CancelFunc
+	done            sync.WaitGroup
 
 	mu      sync.Mutex
 	probing map[carawaycart.LifetimeKey]bool // lifetimes being probed
@@ -53,8 +54,8 @@
 	recovered chan struct{}
 }
 
-// NewProber returns a prober. Its router, notifySilent, reset and loading must be set
-// before Probe is called.
+// NewProber returns a prober. Its router, notifySilent, notifyRestarted, reset and loading
+// must be set before Probe is called.
 func NewProber(k carawaycart.Clock, c *Counters, log *eventlog.Log) *Prober {
 	p := &Prober{
 		clock: k, counters: c, log: log, probing: make(map[carawaycart.LifetimeKey]bool), recovered: make(chan struct{}),
@@ -101,6 +102,8 @@
 			}
 			result := p.router.RecordProbe(key, outcome, began, p.clock.Now())
 			switch {
+			case result.Restarted:
+				p.notifyRestarted(token)
 			case result.Recovered:
 				p.announceRecovery()
 			case result.Silent:
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -30,14 +28,8 @@
 // age that the read had before, so that the read seems to have begun later than it did.
 func TestRelayedUpdateIsAsOldAsItsRead(t *testing.T) {
 	const delay, age, failureAge = 300 * time.Millisecond, 20, 40
-	neighbor, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = neighbor.Close() })
-	items := []carawaycart.StoreItem{{
-		Key: "carawaycart/instances/neighbor", Revision: 11, Value: fmt.Appendf(nil, `{"zone":"a","peerAddress":%q}`, neighbor.LocalAddr()),
-	}}
+	neighbor, item := newNeighbor(t, "neighbor", "a")
+	items := []carawaycart.StoreItem{item}
 	sender, senderView := newTestDisseminator(t)
 	relay, view := newTestDisseminator(t)
 	view.ApplyRead(platform.RangeResult{Revision: 11, Items: items}, relay.clock.Now())
@@ -49,18 +41,7 @@
 		t.Fatal(err)
 	}
 	relay.receive(update, serveDirectory(t, slowDirectory{sender, delay}))
-	if err := neighbor.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
-		t.Fatal(err)
-	}
-	buf := make([]byte, maxUpdateBytes)
-	n, err := neighbor.Read(buf)
-	if err != nil {
-		t.Fatal(err)
-	}
-	got := &message.DirectoryNews{}
-	if err := proto.Unmarshal(buf[:n], got); err != nil {
-		t.Fatal(err)
-	}
+	got := receiveUpdate(t, neighbor)
 	if got.GetFrom() != "self" || got.GetToRevision() != 12 || view.State().Position != (directory.Position{Revision: 12}) {
 		t.Fatalf("got %v, want the update relayed after the fetch", got)
 	}
--- a/internal/edge/view_test.go
+++ b/internal/edge/view_test.go
@@ -48,7 +48,7 @@
 	prober := NewProber(clock, counters, nil)
 	r := steer.NewRouter("a", rand.NewPCG(1, 1), &observer{counters: counters, prober: prober})
 	prober.router, prober.loading = r, func() bool { return false }
-	prober.notifySilent, prober.reset = func(carawaycart.Token) {}, func([]carawaycart.Packet) {}
+	prober.notifySilent, prober.notifyRestarted, prober.reset = func(carawaycart.Token) {}, func(carawaycart.Token) {}, func([]carawaycart.Packet) {}
 	prober.client.Transport = roundTripper(func(*http.Request) (*http.Response, error) { return nil, syscall.ECONNREFUSED })
 	t.Cleanup(prober.Close)
 	f := &viewFixture{View: NewView("self", steer.ColdLimits{}, r, clock, nil), clock: clock, began: clock.Now()}
