Keep the ports of a test of sockets from other connections

Cause: the test frees ports of 127.0.0.1 and binds them again. An outgoing connection of any process may take one in between.

What callers saw: nothing; TestOpenSocketsReleasesAllOnFailure failed once beside load, under the race detector, with "listen for operator: ... address already in use". The port was one that the first try does not open, so that no socket was left open.

Change: the test has a loopback address of its own, which outgoing connections do not use unless they are bound to it. Its checks are the same.

That the earlier failure had this cause is by reading.

--- a/internal/edge/sockets_test.go
+++ b/internal/edge/sockets_test.go
@@ -12,13 +12,14 @@
 // Guards against sockets that stay open when a later one cannot be opened, so that the
 // next try finds the addresses in use.
 func TestOpenSocketsReleasesAllOnFailure(t *testing.T) {
-	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	const address = "127.99.0.1:0" // no outgoing connection takes a port of it in between
+	taken, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = taken.Close() }()
 	free := func() netip.AddrPort {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", address)
 		if err != nil {
 			t.Fatal(err)
 		}
