--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -148,7 +148,7 @@
 	if cause == carawaycart.CauseNone && route != nil && e == owner && r.trackPacket(id, p, route, e, now) {
 		return forward(e)
 	}
-	opened := r.openedAt(t, id, p, owner)
+	opened := r.openEndpoint(t, id, p, owner)
 	if opened != nil {
 		owner = opened
 		if e, cause = r.ownerNow(route, id, p, owner, now); cause == carawaycart.CauseNone && route != nil && e == owner {
@@ -190,21 +190,6 @@
 	return e, carawaycart.CauseNone
 }
 
-// openedAt returns the endpoint in t at which the flow id is open, if owner, which has the
-// token of p, is another. It returns nil if this instance has not seen the flow open, or the
-// numbers in p are not near those of the flow. The first packet of a flow may have been sent
-// to several endpoints, and the caller may send the token of the last one that answered, which
-// does not move the flow.
-func (r *Router) openedAt(t *Table, id flowID, p *carawaycart.Packet, owner *endpoint) *endpoint {
-	s := r.flows.lockShard(id)
-	defer s.mu.Unlock()
-	f := s.flows[id]
-	if f == nil || owner != nil && f.endpoint.state == owner.state || !f.isOwn(p) {
-		return nil
-	}
-	return t.byKey[f.endpoint.lifetime.Key()]
-}
-
 // forwardInherited returns the decision to forward p, a packet of the flow id with the token
 // of owner, to e, which succeeds it. Whether e holds the flow is unknown, so that a missing
 // answer says nothing of e: the flow is no longer tracked.
@@ -463,121 +448,3 @@
 		r.observer.ProbeRequested(&e.lifetime)
 	}
 }
-
-// trackPacket updates the record of the flow id, and the state of its endpoint e, with
-// p, which is not the first packet. It adds a record if there is none for the flow at
-// e and p carries data. It returns false, and changes nothing, if the flow is open at another
-// endpoint.
-func (r *Router) trackPacket(id flowID, p *carawaycart.Packet, via *route, e *endpoint, now time.Time) bool {
-	s := r.flows.lockShard(id)
-	defer s.mu.Unlock()
-	f := s.flows[id]
-	if f != nil && f.phase != phaseOpen && f.endpoint.state != e.state {
-		tried := isTried(f.tried, e)
-		if tried || f.isHandshake(p) {
-			// An endpoint that was tried earlier, here or through another instance, answered
-			// first.
-			f.endpoint.state.adjustCounts(-boolToInt(f.phase == phaseOpening), 0, 0)
-			f.phase, f.endpoint, f.sentAt = phaseUnanswered, e, time.Time{}
-			if tried {
-				f.sentAt = f.openedAt
-			}
-		}
-	}
-	if f == nil || f.endpoint.state != e.state {
-		if f != nil && f.isOwn(p) && !f.isElsewhere(p, e) {
-			return false
-		}
-		if p.PayloadBytes == 0 || p.Kind == carawaycart.PacketLast {
-			return true
-		}
-		if f != nil {
-			r.observer.OtherToken(p, f.endpoint.lifetime.ID, e.lifetime.ID)
-			s.remove(id, f)
-		}
-		// The sequence number before that of p makes the data of p a new request.
-		f = &flow{endpoint: e, openedAt: now, phase: phaseOpen, acknowledged: p.Acknowledged, sequence: p.Sequence - 1}
-		if len(via.targets) == 1 {
-			f.objective = via.targets[0].objective
-		}
-		if !s.insert(id, f, now) {
-			return true
-		}
-		e.state.adjustCounts(0, 0, 1)
-	}
-	if p.Token == e.token {
-		f.elsewhere = nil
-	}
-	r.updateFlow(id, f, p, now)
-	f.lastSeen = now
-	if p.Kind == carawaycart.PacketLast {
-		s.remove(id, f)
-	}
-	return true
-}
-
-// updateFlow updates f and the state of its endpoint with packet p. The first one after
-// the first packet opens the flow, since the caller has got an answer. Acknowledging
-// further data of the endpoint answers a request, new data of the caller begins one
-// unless another is waiting, and resent data means a timeout.
-func (r *Router) updateFlow(id flowID, f *flow, p *carawaycart.Packet, now time.Time) {
-	e := f.endpoint
-	if f.phase != phaseOpen {
-		e.state.adjustCounts(-boolToInt(f.phase == phaseOpening), 0, 1)
-		f.phase, f.openSeen = phaseOpen, f.isHandshake(p)
-		f.acknowledged = p.Acknowledged
-		if !f.sentAt.IsZero() {
-			r.mu.Lock()
-			r.estimatorFor(e.lifetime.Zone).Observe(now.Sub(f.sentAt))
-			r.mu.Unlock()
-		}
-		r.handleAnswer(e, now)
-	}
-	// The difference as an int32 orders numbers that wrap around at 2^32.
-	if int32(p.Acknowledged-f.acknowledged) > 0 {
-		f.acknowledged = p.Acknowledged
-		r.handleAnswer(e, now)
-		if f.waiting {
-			e.state.adjustCounts(0, -boolToInt(!f.abandoned), boolToInt(f.abandoned))
-			f.waiting, f.abandoned = false, false
-			e.state.recordOutcomes(0, 1, now)
-			if o := f.objective; o != nil {
-				o.admission.RecordAnswer(o.priority, now.Sub(f.requestedAt), o.answerTarget, f.slow, now)
-			}
-		}
-	}
-	if p.PayloadBytes == 0 {
-		return
-	}
-	if int32(p.Sequence-f.sequence) > 0 {
-		f.sequence = p.Sequence
-		if !f.waiting {
-			f.waiting, f.slow, f.requestedAt = true, false, now
-			r.trackRequest(id, f, now)
-			e.state.adjustCounts(0, 1, 0)
-		}
-		return
-	}
-	if sentAt := f.lastSeen; now.Sub(sentAt) > minResendInterval {
-		e.state.recordUnansweredData(sentAt, now)
-		r.handleTimeout(e, "data", sentAt, now)
-	}
-}
-
-// isResent reports whether the data in p was sent before on the flow id and e has answered
-// nothing since.
-func (r *Router) isResent(id flowID, p *carawaycart.Packet, e *endpoint, now time.Time) bool {
-	s := r.flows.lockShard(id)
-	defer s.mu.Unlock()
-	f := s.flows[id]
-	return f != nil && f.phase == phaseOpen && f.endpoint.state == e.state && int32(p.Sequence-f.sequence) <= 0 &&
-		now.Sub(f.lastSeen) > minResendInterval && e.state.recordUnansweredData(f.lastSeen, now)
-}
-
-// handleAnswer records an answer of e at now and notifies the observer if a timeout
-// preceded it.
-func (r *Router) handleAnswer(e *endpoint, now time.Time) {
-	if e.state.recordAnswer(now) {
-		r.observer.Recovered(e.lifetime.ID)
-	}
-}
