--- a/core/steer/tracking.go
+++ b/core/steer/tracking.go
@@ -23,7 +23,7 @@
 
 // trackPacket updates the record of the flow id, and the state of its endpoint e, with
 // p, which is not the first packet. It adds a record if there is none for the flow at
-// e and p carries data. It returns false, and changes nothing, if the flow is open at another
+// e and p carries data. It returns false, without tracking p, if the flow is open at another
 // endpoint.
 func (r *Router) trackPacket(id flowID, p *carawaycart.Packet, via *route, e *endpoint, now time.Time) bool {
 	s := r.flows.lockShard(id)
