--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Builds the stand-in that the scripts of the cases 6 to 10 start, after the build of the
-# deploy file.
+# Builds the stand-in of the cases 6 to 10 into review/bin.
 set -e
-cd "$(dirname "$0")/.."
-go build -C review/standin-2 -o ../../target/review-standin-2 .
+cd "$(dirname "$0")"
+GOWORK=off go build -C standin-2 -buildvcs=false -o ../bin/standin-2 .
