--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -38,24 +38,32 @@
 	time.Sleep(2 * time.Second)
 }
 
-// reborn: a host is cut off from the store, but not from the instances, crashes behind the cut
-// and starts again under its id.
+// reborn: two of twelve hosts are cut off from the store, but not from the instances, crash
+// behind the cut and start again under their ids.
 func reborn(s *site, trouble bool) {
-	h := s.hosts[0]
-	if trouble {
-		s.rec.line("disruption: host %s is cut off from the store for 5 s", h.id)
-		h.setCut(true)
+	cut := []*host{s.hosts[0], s.hosts[s.hostsPer]}
+	for _, h := range cut {
+		if trouble {
+			s.rec.line("disruption: host %s is cut off from the store for 5 s", h.id)
+			h.setCut(true)
+		}
 	}
 	time.Sleep(500 * time.Millisecond)
-	s.rec.line("host %s crashes", h.id)
-	h.crash()
+	for _, h := range cut {
+		s.rec.line("host %s crashes", h.id)
+		h.crash()
+	}
 	time.Sleep(100 * time.Millisecond)
-	s.rec.line("host %s starts again", h.id)
-	if err := h.start(true); err != nil {
-		panic(err)
+	for _, h := range cut {
+		s.rec.line("host %s starts again", h.id)
+		if err := h.start(true); err != nil {
+			panic(err)
+		}
+	}
+	time.Sleep(4400 * time.Millisecond)
+	for _, h := range cut {
+		h.setCut(false)
 	}
-	time.Sleep(4300 * time.Millisecond)
-	h.setCut(false)
 	time.Sleep(2 * time.Second)
 }
 
@@ -104,7 +112,7 @@
 		s.loss.set(0.01)
 	}
 	for _, c := range s.callers {
-		for n := range 60 {
+		for n := range 90 {
 			go c.feed(fmt.Sprintf("feed%d", n), s.service, time.Second, 5*time.Second, s.stop)
 		}
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -260,8 +260,11 @@
 		return 2
 	}
 	s := &site{zones: []string{"a", "b", "c"}, perZone: 2, hostsPer: 2, load: 60, coldRate: 1, idleMS: 15000}
-	if os.Args[1] == "stale" {
+	switch os.Args[1] {
+	case "stale":
 		s.load = 90
+	case "reborn":
+		s.hostsPer, s.load = 4, 120
 	}
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
