Decode each value of a configuration on its own

Reads, updates of peers, started instances and check -routing share the decoder.

Change: platform/config.go decodes value by value. Numbers out of range are limited, other values count as missing, and a route or service is left out only if it has no usable address or name. Weights keep their proportions instead of removing their route.

Tests changed: three cases of TestDecodeConfigSkipsInvalidRoutes and the golden files of check -routing asserted the fault (a target latency or a weight removed its route, a cold rate of -1 refused the configuration). The new tests require the route or the configuration to be in force with these values, for all parts of a configuration and 20 values. refused.json now has a version that is no number, which is still refused.

--- a/internal/edge/view.go
+++ b/internal/edge/view.go
@@ -268,9 +268,9 @@
 	for _, r := range v.directory.TakeRefusals() {
 		v.log.Event("itemRefused").Text("key", r.Key).Int("revision", int64(r.Revision)).Err(r.Err).End()
 	}
-	invalidRoutes, unknownKinds := 0, 0
+	invalidRoutes, ignoredValues, unknownKinds := 0, 0, 0
 	if c := v.contents.Config; c != nil {
-		invalidRoutes = c.InvalidRoutes
+		invalidRoutes, ignoredValues = c.InvalidRoutes, c.IgnoredValues
 		for i := range c.Routes {
 			unknownKinds += int(boolToInt(c.Routes[i].Kind == carawaycart.RequestUnknown))
 		}
@@ -294,7 +294,7 @@
 	v.router.SetTable(table)
 	v.log.Event("view").Int("revision", int64(table.Revision)).Int("era", int64(v.directory.Position().Era)).Int("config", int64(table.ConfigVersion)).
 		Int("lifetimes", int64(len(v.contents.Lifetimes))).Int("instances", int64(len(v.contents.Instances))).
-		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("invalidRoutes", int64(invalidRoutes)).Int("unknownKinds", int64(unknownKinds)).
+		Int("zonesOut", int64(len(v.contents.ZonesOut))).Int("refused", int64(v.directory.DecodeFailures())).Int("invalidRoutes", int64(invalidRoutes)).Int("ignoredValues", int64(ignoredValues)).Int("unknownKinds", int64(unknownKinds)).
 		Int("profiles", int64(v.operatorConfig.Revision)).
 		Text("source", source).Millis("ageMs", now.Sub(v.lastReadAt)).End()
 }
--- a/lifetime.go
+++ b/lifetime.go
@@ -87,13 +87,35 @@
 	IdleTimeout time.Duration // idle time after which a flow may be discarded
 
 	InvalidRoutes int // number of routes that were left out because they are invalid
+	IgnoredValues int // number of other values that are not used as they were written
 }
 
-// RouteFault is a value of a route in the routing configuration that is not valid.
-type RouteFault struct {
-	Route    string // name of the route; several routes may have the same
-	Position int    // position of the route in the configuration, counted from one
-	Omitted  bool   // whether the route is left out; otherwise only the value is ignored
+// ConfigPart is a part of the routing configuration.
+type ConfigPart string
+
+// The parts of a routing configuration.
+const (
+	ConfigWhole   ConfigPart = "config"
+	ConfigRoute   ConfigPart = "route"
+	ConfigService ConfigPart = "service"
+)
+
+// ConfigEffect is what follows from a ConfigFault.
+type ConfigEffect uint8
+
+// The effects of faults in a routing configuration.
+const (
+	ConfigValueIgnored ConfigEffect = iota // the value is taken as missing
+	ConfigValueLimited                     // the largest usable value is taken in its place
+	ConfigPartOmitted                      // the route or service is left out
+)
+
+// ConfigFault is a value of the routing configuration that is not used as it was written.
+type ConfigFault struct {
+	Part     ConfigPart
+	Name     string // name of the route or service; several may have the same
+	Position int    // position of the route or service among its kind, counted from one
+	Effect   ConfigEffect
 	Reason   string
 }
 
