Find where a flow is open before following a late answer's token

Cause: a first packet may reach several endpoints, by a hedge or by a copy, and a caller repeats the token of the last answer, also of a late SYN-ACK or one that is sent again for seconds. Only the instance that had seen the handshake knew better, in a record that a stop, a kill, a rehash, 15 s without packets or a full shard takes away, and every other instance followed the token.

Change: the token of a first packet differs in one bit from that of the lifetime, and later packets get the latter as they are forwarded. A token with the bit therefore shows that the flow's endpoint has not been heard since, or that another has answered late. An instance that does not know such a flow retains the packet and asks three others, chosen by rendezvous hash, where it is open, for 0.3 s at most. The endpoints of contested flows, those whose first packet several endpoints may have received, are told to two others by the same hash as the flow opens, kept for as long as a flow may last whether idle or not, and handed over as an instance stops.

Tests changed: checkStays and one packet of TestLateAnswerDoesNotMoveFlow expect the token of the lifetime instead of that of the first packet, as the two now differ; TestLateAcknowledgementDoesNotKeepFlowElsewhere has more cases. BenchmarkDecideToken measures both forms.

--- a/core/steer/fixture_test.go
+++ b/core/steer/fixture_test.go
@@ -77,7 +77,7 @@
 func (e *events) Dispatched(*queue.Entry, int, int, time.Time) { e.dispatched++ }
 func (e *events) QueueDropped(*queue.Entry, carawaycart.Cause) { e.expired++ }
 func (e *events) CapacityFreed()                               { e.freed++ }
-func (e *events) SharedFlowOpened(o *steer.OpenFlow)           { e.shared = append(e.shared, *o) }
+func (e *events) ContestedFlowOpened(o *steer.OpenFlow)        { e.shared = append(e.shared, *o) }
 
 func (e *events) Overloaded(o admission.Overload)  { e.overloads = append(e.overloads, o) }
 func (e *events) Recovered(carawaycart.EndpointID) {}
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -31,11 +31,14 @@
 	lastSeen time.Time // when the instance last received a packet of the flow
 	phase    phase
 	detached bool // whether the record was made while the table had no route for the flow
-	openSeen bool // whether this instance has seen the end of the handshake with endpoint
+	openSeen bool // whether this instance knows the flow to be open at endpoint, as it has seen the end of the handshake
 	shared   bool // whether another instance may have received the first packet too
-	told     bool // whether only a peer has seen the flow open, which is then not counted
-	waiting  bool // whether a request is unanswered
-	answered bool // whether a request was answered
+	// contested tells whether several endpoints may have received the first packet through this
+	// instance.
+	contested bool
+	told      bool // whether only a peer has seen the flow open, which is then not counted
+	waiting   bool // whether a request is unanswered
+	answered  bool // whether a request was answered
 	// elsewhere is the state of the endpoint whose token came last with an acknowledgement of
 	// new data, if it is not endpoint, and no packet with the token of endpoint came since.
 	elsewhere *state
@@ -79,7 +82,6 @@
 		return false
 	}
 	if f.elsewhere == e.state {
-		f.openSeen = false
 		return true
 	}
 	f.elsewhere = e.state
--- a/core/steer/outcomes.go
+++ b/core/steer/outcomes.go
@@ -209,7 +209,7 @@
 		return
 	}
 	for _, o := range outcomes {
-		if e := t.byToken[o.Token]; e != nil {
+		if e, _ := t.ownerOf(o.Token); e != nil {
 			e.state.mergePeerOutcomes(min(float64(o.Failed), maxPeerFailures), min(float64(o.Answered), maxPeerAnswers), now)
 			if l := t.queuedLoad(e.lifetime.Service); l != nil {
 				l.rejections.RecordPeer(e.lifetime.ID, o.Short, now)
--- a/core/steer/probes.go
+++ b/core/steer/probes.go
@@ -137,7 +137,7 @@
 	if t == nil {
 		return
 	}
-	if e := t.byToken[token]; e != nil && e.presence != directory.Ended {
+	if e, _ := t.ownerOf(token); e != nil && e.presence != directory.Ended {
 		e.state.recordPeerRestart(now)
 	}
 }
@@ -151,7 +151,7 @@
 	if t == nil {
 		return
 	}
-	e := t.byToken[token]
+	e, _ := t.ownerOf(token)
 	if e == nil || e.presence == directory.Ended {
 		return
 	}
--- a/core/steer/queued.go
+++ b/core/steer/queued.go
@@ -165,7 +165,7 @@
 		return drop(cause)
 	}
 	r.openFlow(s, id, e, to.objective, entry.Sequence, now)
-	return forward(e)
+	return forwardFirst(e)
 }
 
 // recordDone records at now that e has answered a request of o after the time took, so that its
--- a/core/steer/router.go
+++ b/core/steer/router.go
@@ -77,9 +77,9 @@
 	QueueDropped(e *queue.Entry, c carawaycart.Cause)
 	// CapacityFreed is called when a request of a service with queued first packets has ended.
 	CapacityFreed()
-	// SharedFlowOpened is called when this instance has seen a flow open whose first packet
-	// another instance may have received too.
-	SharedFlowOpened(o *OpenFlow)
+	// ContestedFlowOpened is called when this instance has seen a flow open whose first packet
+	// several endpoints may have received.
+	ContestedFlowOpened(o *OpenFlow)
 	// RejectingChanged is called when an endpoint is found to reject more requests than the
 	// others of its service, and when it is tried again.
 	RejectingChanged(e carawaycart.EndpointID, rejecting bool)
@@ -94,6 +94,9 @@
 	table    atomic.Pointer[Table]
 	flows    *flowTable
 	observer Observer
+	// contested holds the flows whose packets may carry the token of an endpoint at which
+	// they are not open.
+	contested *contestedFlows
 
 	reports share.Reports // loads that peers have reported
 
@@ -120,7 +123,7 @@
 // numbers from source and notifies o.
 func NewRouter(zone carawaycart.ZoneID, source rand.Source, o Observer) *Router {
 	return &Router{
-		zone: zone, flows: newFlowTable(), observer: o, random: rand.New(source), configured: make(chan struct{}),
+		zone: zone, flows: newFlowTable(), contested: newContestedFlows(), observer: o, random: rand.New(source), configured: make(chan struct{}),
 		timeoutEstimator: make(map[carawaycart.ZoneID]*timeout.Estimator), unreported: make(map[carawaycart.Token]*state),
 	}
 }
@@ -158,7 +161,8 @@
 // requests of the route may run more than once, since a reset does not tell the caller whether
 // its request was run. A flow with the token of an earlier lifetime is left to the endpoint if
 // that has started again: the flow may have been opened since. The token of another endpoint
-// does not move a flow that this instance has seen open.
+// does not move a flow that this instance has seen open. A provisional token decides only if
+// nothing else is known of the flow: peers are asked first if p.MayAsk is set.
 func (r *Router) Decide(p *carawaycart.Packet, now time.Time) carawaycart.Decision {
 	t := r.table.Load()
 	if !t.HasConfig() {
@@ -169,16 +173,24 @@
 	if p.Kind == carawaycart.PacketFirst {
 		return r.decideFirst(t, route, id, p, now)
 	}
-	owner := t.byToken[p.Token]
+	owner, provisional := t.ownerOf(p.Token)
+	certain := owner != nil && !provisional
+	if provisional {
+		var settled bool
+		if owner, settled = r.settle(t, id, p, owner, now); !settled && p.MayAsk {
+			return carawaycart.Decision{Verdict: carawaycart.VerdictAsk}
+		}
+		certain = settled
+	}
 	e, cause := r.ownerNow(route, id, p, owner, now)
-	if cause == carawaycart.CauseNone && route != nil && e == owner && r.trackPacket(id, p, route, e, now) {
-		return forward(e)
+	if cause == carawaycart.CauseNone && route != nil && e == owner && r.trackPacket(id, p, route, e, certain, now) {
+		return forwardLater(p, e)
 	}
 	opened := r.openEndpoint(t, id, p, owner)
 	if opened != nil {
 		owner = opened
 		if e, cause = r.ownerNow(route, id, p, owner, now); cause == carawaycart.CauseNone && route != nil && e == owner {
-			r.trackPacket(id, p, route, e, now)
+			r.trackPacket(id, p, route, e, true, now)
 		}
 	}
 	switch {
@@ -189,62 +201,10 @@
 	case route != nil && e != owner:
 		return r.forwardInherited(id, p, owner, e)
 	}
-	d := forward(e)
 	if opened != nil {
-		d.TokenReplaced = true
 		r.observer.OtherToken(p, opened.lifetime.ID, e.lifetime.ID)
 	}
-	return d
-}
-
-// ownerNow returns the endpoint that has the flows of owner at now, or the cause for which p, a
-// packet of the flow id, is not forwarded to it.
-func (r *Router) ownerNow(route *route, id flowID, p *carawaycart.Packet, owner *endpoint, now time.Time) (*endpoint, carawaycart.Cause) {
-	if owner == nil {
-		return nil, carawaycart.CauseUnknownToken
-	}
-	e := owner
-	if owner.successor != nil {
-		e = owner.successor
-	}
-	switch {
-	case r.hasEnded(id, p, e, now):
-		return e, carawaycart.CauseEnded
-	case route != nil && p.PayloadBytes > 0 && route.repeatable && r.checkSilent(e, now) && (e.state.isDead(now) || r.isResent(id, p, e, now)):
-		return e, carawaycart.CauseSilent
-	}
-	return e, carawaycart.CauseNone
-}
-
-// forwardInherited returns the decision to forward p, a packet of the flow id with the token
-// of owner, to e, which succeeds it. Whether e holds the flow is unknown, so that a missing
-// answer says nothing of e: the flow is no longer tracked.
-func (r *Router) forwardInherited(id flowID, p *carawaycart.Packet, owner, e *endpoint) carawaycart.Decision {
-	s := r.flows.lockShard(id)
-	if f := s.flows[id]; f != nil && e.succeeds(f.endpoint) {
-		s.remove(id, f)
-	}
-	s.mu.Unlock()
-	r.observer.Inherited(p, &owner.lifetime, &e.lifetime)
-	return forward(e)
-}
-
-func forward(e *endpoint) carawaycart.Decision {
-	return carawaycart.Decision{
-		Verdict: carawaycart.VerdictForward, Endpoint: e.lifetime.ID, Zone: e.lifetime.Zone,
-		Token: e.token, Number: e.lifetime.Number, Address: e.lifetime.Address,
-	}
-}
-
-// refuse returns the decision to drop p because of c and notifies the observer. The
-// decision is to reset the flow if reset is true and p is not itself a reset.
-func (r *Router) refuse(p *carawaycart.Packet, c carawaycart.Cause, reset bool, revision carawaycart.StoreRevision) carawaycart.Decision {
-	reset = reset && !p.Reset
-	r.observer.Refused(p, c, reset, revision)
-	if reset {
-		return carawaycart.Decision{Verdict: carawaycart.VerdictReset, Cause: c}
-	}
-	return carawaycart.Decision{Verdict: carawaycart.VerdictDrop, Cause: c}
+	return forwardLater(p, e)
 }
 
 // decideFirst returns the decision for p, the first packet of the flow id, which the
@@ -273,7 +233,7 @@
 	}
 	if f != nil && (f.phase == phaseOpen || now.Sub(f.openedAt) < minResendInterval) {
 		f.lastSeen = now
-		return forward(f.endpoint) // a duplicate made by the network
+		return forwardFirst(f.endpoint) // a duplicate made by the network
 	}
 	to := r.routeTarget(via)
 	if to == nil {
@@ -301,13 +261,14 @@
 		f.phase, f.lastSeen = phaseUnanswered, now
 		s.flows[id] = f
 		if e = to.warmEndpoint(f.endpoint, r.zone, now); e != nil {
-			return forward(e)
+			return forwardFirst(e)
 		}
 		return r.refuse(p, cause, false, t.Revision)
 	}
 	opened := r.openFlow(s, id, e, to.objective, p.Sequence, now)
 	opened.shared = f == nil && !isNew || f != nil && f.shared
-	return forward(e)
+	opened.contested = f != nil
+	return forwardFirst(e)
 }
 
 // openFlow records that the first packet of the flow id, with the given sequence number, is
@@ -378,8 +339,8 @@
 		return carawaycart.Decision{}, false
 	}
 	e.recordFlow(now)
-	f.endpoint, f.sentAt = e, now
-	return forward(e), true
+	f.endpoint, f.sentAt, f.contested = e, now, true
+	return forwardFirst(e), true
 }
 
 // isTried reports whether the lifetime of e is among tried. It compares the states,
--- a/core/steer/router_test.go
+++ b/core/steer/router_test.go
@@ -349,10 +349,17 @@
 func BenchmarkDecideToken(b *testing.B) {
 	f := newFleet(2, 14)
 	d := f.routers[0].Decide(first(1, feed), start)
-	p := acknowledgement(1, feed, d.Token)
-	b.ReportAllocs()
-	for b.Loop() {
-		f.routers[1].Decide(p, start)
+	for _, test := range []struct {
+		name  string
+		token carawaycart.Token
+	}{{"open", f.lifetimeToken(d.Endpoint)}, {"provisional", d.Token}} {
+		b.Run(test.name, func(b *testing.B) {
+			p := acknowledgement(1, feed, test.token)
+			b.ReportAllocs()
+			for b.Loop() {
+				f.routers[1].Decide(p, start)
+			}
+		})
 	}
 }
 
--- a/core/steer/shared_test.go
+++ b/core/steer/shared_test.go
@@ -22,7 +22,7 @@
 		t.Fatalf("got %d reports of open flows, want one, of that whose first transmission is elsewhere", n)
 	}
 	r := f.routers[1]
-	r.RecordShared(&f.events[0].shared[0], start)
+	r.RecordOpen(&f.events[0].shared[0], start)
 	if n := r.Endpoints(start)[0].Open; n != 0 {
 		t.Errorf("got %d open flows at the other instance, want none before it receives data", n)
 	}
--- a/core/steer/stray_test.go
+++ b/core/steer/stray_test.go
@@ -22,10 +22,17 @@
 	return original, hedge
 }
 
-// checkStays reports an error unless d forwards a packet to open and restores its token.
-func checkStays(t *testing.T, d, open carawaycart.Decision) {
+// lifetimeToken returns the token of the lifetime of id, which its packets carry once the flow
+// is open.
+func (f *fleet) lifetimeToken(id carawaycart.EndpointID) carawaycart.Token {
+	return f.routers[0].Table().Token(f.endpoint(id).Key())
+}
+
+// checkStays reports an error unless d forwards a packet to open and writes the token of its
+// lifetime.
+func (f *fleet) checkStays(t *testing.T, d, open carawaycart.Decision) {
 	t.Helper()
-	if mustForward(t, d); d.Endpoint != open.Endpoint || d.Token != open.Token || !d.TokenReplaced {
+	if mustForward(t, d); d.Endpoint != open.Endpoint || d.Token != f.lifetimeToken(open.Endpoint) || d.Token == open.Token || !d.TokenReplaced {
 		t.Errorf("got %s, token replaced %t, want %s, at which the flow is open, and its token", d.Endpoint, d.TokenReplaced, open.Endpoint)
 	}
 }
@@ -45,12 +52,12 @@
 				open, late = late, open
 			}
 			r.Decide(acknowledgement(1, feed, open.Token), start.Add(35*time.Millisecond))
-			checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(50*time.Millisecond)), open)
-			checkStays(t, r.Decide(answered(1, feed, late.Token), start.Add(90*time.Millisecond)), open)
+			f.checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(50*time.Millisecond)), open)
+			f.checkStays(t, r.Decide(answered(1, feed, late.Token), start.Add(90*time.Millisecond)), open)
 			if n := f.events[0].otherTokens; n != 2 {
 				t.Errorf("got %d reports of packets with another token, want 2", n)
 			}
-			if d := r.Decide(answered(1, feed, open.Token), start.Add(100*time.Millisecond)); d.Endpoint != open.Endpoint || d.TokenReplaced {
+			if d := r.Decide(answered(1, feed, f.lifetimeToken(open.Endpoint)), start.Add(100*time.Millisecond)); d.Endpoint != open.Endpoint || d.TokenReplaced {
 				t.Errorf("got %s, token replaced %t, want the packet forwarded to %s as it is", d.Endpoint, d.TokenReplaced, open.Endpoint)
 			}
 		})
@@ -67,7 +74,7 @@
 	moved := f.endpoint(late.Endpoint)
 	moved.StartedAt, moved.Address = moved.StartedAt+1000, netip.MustParseAddrPort("10.0.1.1:80")
 	f.update(start.Add(40 * time.Millisecond))
-	checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(50*time.Millisecond)), open)
+	f.checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(50*time.Millisecond)), open)
 }
 
 // The caller opens a flow at the endpoint that one instance chose, and the copy of its first
@@ -86,7 +93,7 @@
 	if d, ok := r.Hedge(&k, start.Add(240*time.Millisecond)); ok {
 		t.Errorf("got an open flow hedged to %s", d.Endpoint)
 	}
-	checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(250*time.Millisecond)), open)
+	f.checkStays(t, r.Decide(request(1, feed, late.Token), start.Add(250*time.Millisecond)), open)
 }
 
 // Guards against keeping a flow at an endpoint by the record of an earlier one with the same
@@ -115,24 +122,30 @@
 // an endpoint that answered late, through this one. Guards against keeping the flow at the late
 // endpoint although the caller sends the token of the one that serves it.
 func TestLateAcknowledgementDoesNotKeepFlowElsewhere(t *testing.T) {
-	f := newFleet(2, 4)
-	open := mustForward(t, f.routers[0].Decide(first(1, feed), start))
-	r := f.routers[1]
-	late := mustForward(t, r.Decide(first(1, feed), start.Add(200*time.Millisecond)))
-	if late.Endpoint == open.Endpoint {
-		t.Fatalf("got both first packets sent to %s, want two endpoints", open.Endpoint)
-	}
-	f.routers[0].Decide(acknowledgement(1, feed, open.Token), start.Add(205*time.Millisecond))
-	r.Decide(acknowledgement(1, feed, late.Token), start.Add(210*time.Millisecond))
-	astray := 0
-	for n := range 5 {
-		p := answered(1, feed, open.Token)
-		p.Acknowledged += uint32(1000 * n)
-		if d := mustForward(t, r.Decide(p, start.Add(time.Duration(300+100*n)*time.Millisecond))); d.Endpoint != open.Endpoint {
-			astray++
+	for _, retransmissions := range []int{0, 1} { // a copy makes the flow contested
+		f := newFleet(2, 4)
+		open := mustForward(t, f.routers[0].Decide(first(1, feed), start))
+		r := f.routers[1]
+		p := first(1, feed)
+		p.Retransmissions = retransmissions
+		late := mustForward(t, r.Decide(p, start.Add(200*time.Millisecond)))
+		if late.Endpoint == open.Endpoint {
+			t.Fatalf("got both first packets sent to %s, want two endpoints", open.Endpoint)
+		}
+		f.routers[0].Decide(acknowledgement(1, feed, open.Token), start.Add(205*time.Millisecond))
+		r.Decide(acknowledgement(1, feed, late.Token), start.Add(210*time.Millisecond))
+		for _, token := range []carawaycart.Token{open.Token, f.lifetimeToken(open.Endpoint)} {
+			astray := 0
+			for n := range 5 {
+				p := answered(1, feed, token)
+				p.Acknowledged += uint32(1000 * n)
+				if d := mustForward(t, r.Decide(p, start.Add(time.Duration(300+100*n)*time.Millisecond))); d.Endpoint != open.Endpoint {
+					astray++
+				}
+			}
+			if astray > 1 {
+				t.Errorf("copy %d: got %d packets with token %d of %s sent elsewhere, want one at most", retransmissions, astray, token, open.Endpoint)
+			}
 		}
-	}
-	if astray > 1 {
-		t.Errorf("got %d packets with the token of %s sent elsewhere, want one at most", astray, open.Endpoint)
 	}
 }
--- a/core/steer/table.go
+++ b/core/steer/table.go
@@ -140,10 +140,6 @@
 	return t
 }
 
-// removedRouteRetention is how long removed routes are retained. It exceeds the 60 s for
-// which flows may last on the platform.
-const removedRouteRetention = 70 * time.Second
-
 // recordRemovedRoutes records the routes that previous or a table before it had and t does
 // not have.
 func (t *Table) recordRemovedRoutes(previous *Table, now time.Time) {
@@ -158,7 +154,7 @@
 	}
 	for address := range previous.routes {
 		if t.routes[address] == nil {
-			t.removedUntil[address] = now.Add(removedRouteRetention)
+			t.removedUntil[address] = now.Add(MaxFlowAge)
 		}
 	}
 }
--- a/core/steer/token.go
+++ b/core/steer/token.go
@@ -14,8 +14,13 @@
 // lifetimes, a third one is needed about once in 10^10 days.
 const maxDerivations = 4
 
+// provisionalBit is the bit in which the token of a first packet differs from the token of the
+// lifetime, so that callers show whether they repeat an answer to a first packet or a later
+// packet of the flow's endpoint.
+const provisionalBit carawaycart.Token = 1 << 31
+
 // derive returns the n-th of the tokens that a lifetime may get, counted from zero. It
-// is a hash of key and n, and never zero.
+// is a hash of key and n. Neither the token nor its provisional form is zero.
 func derive(key carawaycart.LifetimeKey, n int) carawaycart.Token {
 	var b [9]byte
 	binary.BigEndian.PutUint64(b[:8], uint64(key.StartedAt))
@@ -25,7 +30,7 @@
 	_, _ = h.Write(b[:])
 	sum := h.Sum64()
 	t := carawaycart.Token(sum ^ sum>>32)
-	if t == 0 {
+	if t&^provisionalBit == 0 {
 		t = 1
 	}
 	return t
@@ -33,7 +38,7 @@
 
 // assignTokens returns the token of each lifetime and the owner of each token.
 //
-// If two lifetimes derive the same token, it belongs to the older one, and the younger
+// If two lifetimes derive the same token, or tokens that differ only in provisionalBit, it belongs to the older one, and the younger
 // one gets the next token that it derives. An instance that does not know the older one
 // may have assigned the skipped token to the younger one. A lifetime whose
 // maxDerivations tokens all belong to older ones has none.
@@ -48,7 +53,8 @@
 	for _, key := range sorted {
 		for n := range maxDerivations {
 			t := deriveToken(key, n)
-			if _, taken := owners[t]; taken {
+			_, taken := owners[t]
+			if _, provisional := owners[t^provisionalBit]; taken || provisional {
 				continue
 			}
 			owners[t], tokens[key] = key, t
--- a/core/steer/tracking.go
+++ b/core/steer/tracking.go
@@ -24,8 +24,8 @@
 // trackPacket updates the record of the flow id, and the state of its endpoint e, with
 // p, which is not the first packet. It adds a record if there is none for the flow at
 // e and p carries data. It returns false, without tracking p, if the flow is open at another
-// endpoint.
-func (r *Router) trackPacket(id flowID, p *carawaycart.Packet, via *route, e *endpoint, now time.Time) bool {
+// endpoint. Unless certain is set, p only names e and may do so by mistake.
+func (r *Router) trackPacket(id flowID, p *carawaycart.Packet, via *route, e *endpoint, certain bool, now time.Time) bool {
 	s := r.flows.lockShard(id)
 	defer s.mu.Unlock()
 	f := s.flows[id]
@@ -47,8 +47,15 @@
 		}
 	}
 	if f == nil || f.told || f.endpoint.state != e.state {
-		if f != nil && f.isOwn(p) && !f.isElsewhere(p, e) {
-			return false
+		if f != nil && f.isOwn(p) {
+			confirmed := certain && p.Token == e.token
+			if !confirmed && !f.isElsewhere(p, e) {
+				return false
+			}
+			f.openSeen = false
+			o := newOpenFlow(p)
+			o.Token = e.token
+			r.contested.move(&o)
 		}
 		if p.PayloadBytes == 0 || p.Kind == carawaycart.PacketLast {
 			return true
@@ -58,7 +65,7 @@
 			s.remove(id, f)
 		}
 		// The sequence number before that of p makes the data of p a new request.
-		f = &flow{endpoint: e, openedAt: now, phase: phaseOpen, acknowledged: p.Acknowledged, sequence: p.Sequence - 1}
+		f = &flow{endpoint: e, openedAt: now, phase: phaseOpen, acknowledged: p.Acknowledged, sequence: p.Sequence - 1, openSeen: certain}
 		if len(via.targets) == 1 {
 			f.objective = via.targets[0].objective
 		}
@@ -67,10 +74,10 @@
 		}
 		e.state.adjustCounts(0, 0, 1)
 	}
-	if p.Token == e.token {
+	if p.Token&^provisionalBit == e.token&^provisionalBit {
 		f.elsewhere = nil
 	}
-	r.updateFlow(id, f, p, now)
+	r.updateFlow(id, f, p, certain, now)
 	f.lastSeen = now
 	if p.Kind == carawaycart.PacketLast {
 		s.remove(id, f)
@@ -81,15 +88,19 @@
 // updateFlow updates f and the state of its endpoint with packet p. The first one after
 // the first packet opens the flow, since the caller has got an answer. Acknowledging
 // further data of the endpoint answers a request, new data of the caller begins one
-// unless another is waiting, and resent data means a timeout.
-func (r *Router) updateFlow(id flowID, f *flow, p *carawaycart.Packet, now time.Time) {
+// unless another is waiting, and resent data means a timeout. The argument certain is as for
+// trackPacket.
+func (r *Router) updateFlow(id flowID, f *flow, p *carawaycart.Packet, certain bool, now time.Time) {
 	e := f.endpoint
 	if f.phase != phaseOpen {
 		e.state.adjustCounts(-boolToInt(f.phase == phaseOpening), 0, 1)
-		f.phase, f.openSeen = phaseOpen, f.isHandshake(p)
+		handshake := f.isHandshake(p)
+		f.phase, f.openSeen = phaseOpen, handshake || certain
 		f.acknowledged = p.Acknowledged
-		if f.openSeen && f.shared {
-			r.observer.SharedFlowOpened(&OpenFlow{Key: p.Key, Token: e.token, Sequence: f.sequence, Acknowledged: f.acknowledged})
+		if handshake && f.isContested(now) {
+			o := OpenFlow{Key: p.Key, Token: e.token, Sequence: f.sequence, Acknowledged: f.acknowledged, Shared: f.shared}
+			r.contested.add(&o, now)
+			r.observer.ContestedFlowOpened(&o)
 		}
 		if !f.sentAt.IsZero() {
 			r.mu.Lock()
--- a/flow.go
+++ b/flow.go
@@ -63,6 +63,7 @@
 	PayloadBytes    int
 	Retransmissions int  // number of earlier transmissions of a first packet
 	Waited          bool // may have waited in the instance until the caller sent another copy
+	MayAsk          bool // the decision may be VerdictAsk
 	Reset           bool // ends the flow immediately
 }
 
@@ -101,6 +102,7 @@
 	VerdictRelay                  // send to Instance, which must not relay it again
 	VerdictReset                  // answer with a reset, which ends the flow; count the Cause
 	VerdictQueue                  // retain the first packet until the router dispatches it
+	VerdictAsk                    // retain the packet until peers have told at which endpoint its flow is open
 )
 
 // Cause is the reason why a packet was dropped or answered with a reset.
--- a/internal/edge/counters.go
+++ b/internal/edge/counters.go
@@ -31,6 +31,8 @@
 	QueuedLate   metrics.Counter   // of these, those that could not be answered within their target
 	Dispatched   metrics.Counter   // queued first packets sent to an endpoint
 	QueueExpired metrics.Counter   // queued first packets whose callers gave up
+	FlowsAsked   metrics.Counter   // flows whose endpoint peers were asked for
+	FlowsTold    metrics.Counter   // open flows that peers were told of
 	Rejecting    metrics.Counter   // times an endpoint was found to reject requests
 	Avoided      metrics.Counter   // times an endpoint became avoided
 	Silenced     metrics.Counter   // times an endpoint became silent
@@ -71,6 +73,8 @@
 		Dispatched:   metrics.NewRegisteredCounter("waiting.dispatched", r),
 		QueueExpired: metrics.NewRegisteredCounter("waiting.expired", r),
 		Rejecting:    metrics.NewRegisteredCounter("rejecting", r),
+		FlowsAsked:   metrics.NewRegisteredCounter("flowsAsked", r),
+		FlowsTold:    metrics.NewRegisteredCounter("flowsTold", r),
 		storeCalls:   make(map[[2]string]metrics.Counter),
 	}
 	for i := range c.dropped {
@@ -122,7 +126,7 @@
 		c.Forwarded.Inc(1)
 	case carawaycart.VerdictReset:
 		c.reset[d.Cause].Inc(1)
-	case carawaycart.VerdictQueue:
+	case carawaycart.VerdictQueue, carawaycart.VerdictAsk:
 	default:
 		c.dropped[d.Cause].Inc(1)
 	}
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -58,6 +59,8 @@
 	snapshots snapshotCache
 	sent      linkLoad // of snapshots to peers
 	flows     flowNotices
+	asker     atomic.Pointer[flowAsker] // receives the answers of peers
+	startedAt time.Time
 	done      sync.WaitGroup
 
 	mu       sync.Mutex
@@ -72,7 +75,7 @@
 ) *Disseminator {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Disseminator{ctx: ctx, cancel: cancel, self: self, zone: zone, view: v, conn: conn, client: p, router: r, registrar: g, clock: k, log: log}
-	d.flows = newFlowNotices()
+	d.flows, d.startedAt = newFlowNotices(), k.Now()
 	d.done.Go(d.sendFlowNotices)
 	d.done.Go(func() {
 		buf := make([]byte, 64<<10)
@@ -262,8 +265,7 @@
 		d.receiveLoads(update)
 		return
 	}
-	if len(update.GetFlows()) > 0 {
-		d.receiveFlows(update)
+	if d.receiveFlows(update, from) {
 		return
 	}
 	if update.GetAhead() {
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -54,6 +54,7 @@
 	prober         *Prober
 	hedger         *Hedger
 	sender         *queueSender
+	asker          *flowAsker
 	timer          *deadlineTimer
 	backlogSender  *backlogSender
 	peerServer     *peer.Server
@@ -102,15 +103,8 @@
 		sockets.close()
 		return nil, err
 	}
-	backlog, stalls := &steer.Backlog{}, newStallDetector(clock.Now())
-	newTranslator := func() *translator {
-		return &translator{
-			router: e.router, clock: clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger, sender: e.sender,
-			backlog: backlog, stalls: stalls, log: log,
-		}
-	}
-	e.backlogSender = newBacklogSender(backlog, e.router, newTranslator(), sockets.Fabric, clock, log)
-	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, func() fabric.Translator { return newTranslator() })
+	stalls := newStallDetector(clock.Now())
+	e.startFabric(&s, sockets, stalls)
 	e.counters.RegisterViewGauges(
 		func() int64 { return int64(e.view.State().Position.Revision) },
 		func() int64 { return clock.Now().Sub(e.view.State().LastReadAt).Milliseconds() },
@@ -127,6 +121,20 @@
 	return e, nil
 }
 
+// startFabric starts to forward the packets that arrive at the socket of the fabric.
+func (e *Instance) startFabric(s *settings.Settings, sockets *Sockets, stalls *stallDetector) {
+	backlog := &steer.Backlog{}
+	newTranslator := func() *translator {
+		return &translator{
+			router: e.router, clock: e.clock, counters: e.counters, resetPort: s.FabricAddress.Port(), lastPacket: &e.lastPacket, hedger: e.hedger, sender: e.sender,
+			asker: e.asker, backlog: backlog, stalls: stalls, log: e.log,
+		}
+	}
+	e.asker = newFlowAsker(newTranslator(), e.disseminator, sockets.Fabric)
+	e.backlogSender = newBacklogSender(backlog, e.router, newTranslator(), sockets.Fabric, e.clock, e.log)
+	e.fabricPort = fabric.NewTranslatorPort(sockets.Fabric, s.FabricThreads, func() fabric.Translator { return newTranslator() })
+}
+
 // joinRetryPeriod is the time between requests to seeds. A seed may itself still be
 // starting, since all instances may start at the same time.
 const joinRetryPeriod = 50 * time.Millisecond
@@ -233,6 +241,7 @@
 	began := e.clock.Now()
 	e.stopping.Store(true)
 	e.log.Event("stopping").End()
+	e.disseminator.HandOverFlows()
 	deadline := began.Add(e.settings.Load().GraceMillis.Duration() - closeReserve)
 	for now := began; now.Before(deadline); now = e.clock.Now() {
 		idle := now.Sub(time.Unix(0, e.lastPacket.Load())) > idlePeriod
@@ -259,6 +268,7 @@
 	}
 	e.operatorServer.Close()
 	e.sender.close()
+	e.asker.close()
 	e.hedger.Close()
 	e.timer.close()
 	e.backlogSender.close()
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -73,8 +73,11 @@
 	o.log.Event("avoided").Text("endpoint", string(e)).Text("unanswered", what).Millis("forMs", period).End()
 }
 
-// SharedFlowOpened tells the peers of the zone of an open flow.
-func (o *observer) SharedFlowOpened(f *steer.OpenFlow) { o.disseminator.flows.add(f) }
+// ContestedFlowOpened tells peers of an open flow.
+func (o *observer) ContestedFlowOpened(f *steer.OpenFlow) {
+	o.counters.FlowsTold.Inc(1)
+	o.disseminator.flows.add(f)
+}
 
 // Recovered logs that an avoided endpoint has answered again.
 func (o *observer) Recovered(e carawaycart.EndpointID) {
--- a/internal/edge/translator.go
+++ b/internal/edge/translator.go
@@ -21,6 +21,7 @@
 	lastPacket *atomic.Int64 // time of the last packet, in Unix nanoseconds of clock
 	hedger     *Hedger
 	sender     *queueSender
+	asker      *flowAsker     // nil if packets are not to be retained for it
 	backlog    *steer.Backlog // holds packets until the router has a configuration
 	stalls     *stallDetector
 	log        *eventlog.Log
@@ -53,7 +54,15 @@
 		return nil, netip.AddrPort{}, false
 	}
 	p.Waited = t.waited || p.Kind == carawaycart.PacketFirst && t.stalls.mayHaveWaited(now)
+	p.MayAsk = t.asker != nil
 	d := t.router.Decide(p, now)
+	if d.Verdict == carawaycart.VerdictAsk {
+		if t.asker.retain(p, b, now) {
+			return nil, netip.AddrPort{}, false
+		}
+		p.MayAsk = false
+		d = t.router.Decide(p, now)
+	}
 	t.counters.CountDecision(&d, time.Since(began))
 	switch d.Verdict {
 	case carawaycart.VerdictForward:
