Do not move an open flow by late answers in a row

Cause: an instance that had seen a flow open moved it to another endpoint if two packets in a row acknowledged new data with the token of that endpoint, which was the sign of a mistaken record. A late answer that is sent again, between two answers of the flow's endpoint, looks the same. The log line was otherToken with recorded=i- and endpoint=i- for a flow open at the former.

Change: only the token of a lifetime, which the flow's endpoint repeats once it has been heard, moves a flow that was seen open. A provisional token never does. What looks like the end of a handshake is asked for if a copy of the first packet has come without the first transmission, since it may follow a late answer.

Tests changed: TestLateAcknowledgementDoesNotKeepFlowElsewhere sent the token of the first packet after data of its endpoint was acknowledged, which a caller does only after a late answer. It now sends the token of the lifetime, and requires that no packet strays instead of one at most.

--- a/core/steer/contested.go
+++ b/core/steer/contested.go
@@ -70,12 +70,13 @@
 	c.order = c.order[expired:]
 }
 
-// move replaces the endpoint in the record of the flow of o, if there is one.
-func (c *contestedFlows) move(o *OpenFlow) {
+// move records o at now, in place of an earlier record of the same flow.
+func (c *contestedFlows) move(o *OpenFlow, now time.Time) {
+	c.add(o, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id := newFlowID(&o.Key)
-	if known, ok := c.flows[id]; ok && known.isNear(o) {
+	if known, ok := c.flows[id]; ok {
 		known.Token = o.Token
 		c.flows[id] = known
 	}
@@ -139,7 +140,7 @@
 	s := r.flows.lockShard(id)
 	f := s.flows[id]
 	own := f != nil && f.isOwn(p)
-	first := f != nil && !f.told && f.phase != phaseOpen && areNear(p.Sequence, f.sequence) && (f.isHandshake(p) || !f.isContested(now))
+	first := f != nil && !f.told && f.phase != phaseOpen && areNear(p.Sequence, f.sequence) && (f.isHandshake(p) && !f.shared || !f.isContested(now))
 	s.mu.Unlock()
 	if own {
 		return owner, true // the record decides; see openEndpoint
--- a/core/steer/contested_test.go
+++ b/core/steer/contested_test.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// A copy of the first packet comes to an instance, and what looks like the handshake but may be a
+// second acknowledgement, of a late answer. Guards against taking the flow to be open there.
+func TestAcknowledgementAfterCopyIsAskedFor(t *testing.T) {
+	f := newFleet(2, 4)
+	open := mustForward(t, f.routers[0].Decide(first(1, feed), start))
+	r := f.routers[1]
+	p := first(1, feed)
+	p.Retransmissions = 1
+	late := mustForward(t, r.Decide(p, start.Add(200*time.Millisecond)))
+	if late.Endpoint == open.Endpoint {
+		t.Fatalf("got both first packets sent to %s, want two endpoints", open.Endpoint)
+	}
+	f.routers[0].Decide(acknowledgement(1, feed, open.Token), start.Add(205*time.Millisecond))
+	if d := r.Decide(mayAsk(acknowledgement(1, feed, late.Token)), start.Add(210*time.Millisecond)); d.Verdict != carawaycart.VerdictAsk {
+		t.Errorf("got verdict %d, want peers asked", d.Verdict)
+	}
+	r.RecordOpen(&f.events[0].shared[0], start.Add(211*time.Millisecond))
+	f.checkStays(t, r.Decide(mayAsk(request(1, feed, late.Token)), start.Add(212*time.Millisecond)), open)
+}
+
 // Nobody knows where a flow is open. Guards against asking for each of its packets, and against
 // another endpoint for a late answer.
 func TestFlowThatNobodyKnowsIsAssumedOpen(t *testing.T) {
@@ -99,7 +119,7 @@
 	} {
 		f := newFleet(1, 4)
 		d := mustForward(t, test.open(f.routers[0]))
-		mustForward(t, f.routers[0].Decide(mayAsk(acknowledgement(1, feed, d.Token)), start.Add(test.after)))
+		mustForward(t, f.routers[0].Decide(acknowledgement(1, feed, d.Token), start.Add(test.after)))
 		if n := len(f.events[0].shared); n != test.want {
 			t.Errorf("%s: got %d flows told, want %d", test.name, n, test.want)
 		}
--- a/core/steer/flows.go
+++ b/core/steer/flows.go
@@ -39,9 +39,6 @@
 	told      bool // whether only a peer has seen the flow open, which is then not counted
 	waiting   bool // whether a request is unanswered
 	answered  bool // whether a request was answered
-	// elsewhere is the state of the endpoint whose token came last with an acknowledgement of
-	// new data, if it is not endpoint, and no packet with the token of endpoint came since.
-	elsewhere *state
 	// abandoned tells whether the unanswered request counts as abandoned by the caller.
 	// The flow then counts neither as waiting nor as open.
 	abandoned   bool
@@ -74,20 +71,6 @@
 // flow.
 func areNear(a, b uint32) bool { return a-b+maxNumberDistance <= 2*maxNumberDistance }
 
-// isElsewhere reports whether f is open at e, whose token p carries, and not at its endpoint,
-// and records p. Two packets in a row that acknowledge new data show that e sends on f; one
-// may follow the answer of e to the first packet.
-func (f *flow) isElsewhere(p *carawaycart.Packet, e *endpoint) bool {
-	if int32(p.Acknowledged-f.acknowledged) <= 0 {
-		return false
-	}
-	if f.elsewhere == e.state {
-		return true
-	}
-	f.elsewhere = e.state
-	return false
-}
-
 // isHandshake reports whether p, which is not the first packet of f, only acknowledges the
 // answer to that. Its token is that of the endpoint which gave the answer.
 func (f *flow) isHandshake(p *carawaycart.Packet) bool {
--- a/core/steer/stray_test.go
+++ b/core/steer/stray_test.go
@@ -134,18 +134,35 @@
 		}
 		f.routers[0].Decide(acknowledgement(1, feed, open.Token), start.Add(205*time.Millisecond))
 		r.Decide(acknowledgement(1, feed, late.Token), start.Add(210*time.Millisecond))
-		for _, token := range []carawaycart.Token{open.Token, f.lifetimeToken(open.Endpoint)} {
-			astray := 0
-			for n := range 5 {
-				p := answered(1, feed, token)
-				p.Acknowledged += uint32(1000 * n)
-				if d := mustForward(t, r.Decide(p, start.Add(time.Duration(300+100*n)*time.Millisecond))); d.Endpoint != open.Endpoint {
-					astray++
-				}
-			}
-			if astray > 1 {
-				t.Errorf("copy %d: got %d packets with token %d of %s sent elsewhere, want one at most", retransmissions, astray, token, open.Endpoint)
+		astray := 0
+		for n := range 5 {
+			// The endpoint repeats the token that the other instance has written.
+			p := answered(1, feed, f.lifetimeToken(open.Endpoint))
+			p.Acknowledged += uint32(1000 * n)
+			if d := mustForward(t, r.Decide(p, start.Add(time.Duration(300+100*n)*time.Millisecond))); d.Endpoint != open.Endpoint {
+				astray++
 			}
 		}
+		if astray > 0 {
+			t.Errorf("copy %d: got %d packets with the token of %s sent elsewhere, want none", retransmissions, astray, open.Endpoint)
+		}
+		f.checkStays(t, r.Decide(answered(1, feed, late.Token), start.Add(time.Second)), open)
+	}
+}
+
+// An endpoint sends its late answer again, each time after data of the endpoint at which the flow
+// is open. Guards against moving the flow to it, as packets in a row acknowledge new data with
+// its token.
+func TestRepeatedLateAnswerDoesNotMoveFlow(t *testing.T) {
+	f := newFleet(1, 4)
+	r := f.routers[0]
+	open, late := sendToTwo(t, r)
+	r.Decide(acknowledgement(1, feed, open.Token), start.Add(35*time.Millisecond))
+	for n := range 5 {
+		p := answered(1, feed, late.Token)
+		p.Acknowledged += uint32(1000 * n)
+		p.PayloadBytes = 200
+		p.Sequence += uint32(200 * n)
+		f.checkStays(t, r.Decide(mayAsk(p), start.Add(time.Duration(200+200*n)*time.Millisecond)), open)
 	}
 }
--- a/core/steer/tracking.go
+++ b/core/steer/tracking.go
@@ -48,14 +48,13 @@
 	}
 	if f == nil || f.told || f.endpoint.state != e.state {
 		if f != nil && f.isOwn(p) {
-			confirmed := certain && p.Token == e.token
-			if !confirmed && !f.isElsewhere(p, e) {
+			if !certain || p.Token != e.token {
 				return false
 			}
-			f.openSeen = false
+			f.openSeen = false // what seemed to be the end of the handshake followed a late answer
 			o := newOpenFlow(p)
 			o.Token = e.token
-			r.contested.move(&o)
+			r.contested.move(&o, now)
 		}
 		if p.PayloadBytes == 0 || p.Kind == carawaycart.PacketLast {
 			return true
@@ -74,9 +73,6 @@
 		}
 		e.state.adjustCounts(0, 0, 1)
 	}
-	if p.Token&^provisionalBit == e.token&^provisionalBit {
-		f.elsewhere = nil
-	}
 	r.updateFlow(id, f, p, certain, now)
 	f.lastSeen = now
 	if p.Kind == carawaycart.PacketLast {
