Wait longer for what peers know of a flow, and agree on what nobody knows

Cause: the instance that got the moved flow followed its token after three questions, as only one of three instances had answered (flowAsked, outcome=unanswered, waitedMs=1002); those that knew had no processor time. Also, where a handshake and the next packet come to two instances, each could assume another endpoint while both asked.

Change: a question is asked ten times, for 1 s, before the token is followed. A wait costs the caller time, a wrong endpoint the flow. So that waits stay rare, an instance of the fleet's first start counts as one that cannot have missed a flow. The token of the first question decides for all that ask meanwhile. New tests count the open flows that failed, apart from new ones that were refused: Ledger.FlowsFailed.

--- a/core/steer/contested.go
+++ b/core/steer/contested.go
@@ -21,6 +21,7 @@
 	Sequence     uint32            // highest sequence number from the caller
 	Acknowledged uint32            // highest acknowledgement number from the caller
 	Shared       bool              // whether another instance may have received the first packet too
+	Assumed      bool              // whether Token is only that of a packet, and nobody has seen the flow open
 }
 
 // isNear reports whether the numbers of o and other may be of the same flow.
@@ -47,13 +48,13 @@
 	return &contestedFlows{flows: make(map[flowID]contestedFlow)}
 }
 
-// add records o at now. An earlier record of the same flow is kept: later acknowledgements may
-// carry the token of an endpoint that answered late.
+// add records o at now. An earlier record of the same flow is kept, unless it was assumed: later
+// acknowledgements may carry the token of an endpoint that answered late.
 func (c *contestedFlows) add(o *OpenFlow, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id := newFlowID(&o.Key)
-	if known, ok := c.flows[id]; ok && now.Before(known.expiresAt) && known.isNear(o) {
+	if known, ok := c.flows[id]; ok && now.Before(known.expiresAt) && known.isNear(o) && (o.Assumed || !known.Assumed) {
 		return
 	}
 	added := contestedFlow{*o, now.Add(MaxFlowAge)}
@@ -77,7 +78,7 @@
 	defer c.mu.Unlock()
 	id := newFlowID(&o.Key)
 	if known, ok := c.flows[id]; ok {
-		known.Token = o.Token
+		known.Token, known.Assumed = o.Token, false
 		c.flows[id] = known
 	}
 }
@@ -94,13 +95,13 @@
 	return known.OpenFlow, true
 }
 
-// all returns all records at now.
+// all returns all records at now but those that were assumed.
 func (c *contestedFlows) all(now time.Time) []OpenFlow {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []OpenFlow
 	for i := range c.flows {
-		if f := c.flows[i]; now.Before(f.expiresAt) {
+		if f := c.flows[i]; now.Before(f.expiresAt) && !f.Assumed {
 			all = append(all, f.OpenFlow)
 		}
 	}
@@ -147,7 +148,7 @@
 	}
 	flow := newOpenFlow(p)
 	known, ok := r.contested.get(&flow, now)
-	if !ok {
+	if !ok || known.Assumed {
 		return owner, first
 	}
 	e, _ := t.ownerOf(known.Token)
@@ -201,6 +202,15 @@
 	return e.lifetime.ID
 }
 
+// RecordAssumed records at now that a peer asks for the flow o, whose packet has the token in o.
+// If nobody knows the flow, peers that ask later are to assume the same endpoint, since the
+// handshake comes before any packet whose token a late answer has changed.
+func (r *Router) RecordAssumed(o *OpenFlow, now time.Time) {
+	assumed := *o
+	assumed.Assumed = true
+	r.contested.add(&assumed, now)
+}
+
 // FindOpen returns the record of this instance of the flow of o, of which the key and the
 // numbers are set. It returns false if the instance does not know at which endpoint it is open.
 func (r *Router) FindOpen(o *OpenFlow, now time.Time) (OpenFlow, bool) {
--- a/core/steer/contested_test.go
+++ b/core/steer/contested_test.go
@@ -194,3 +194,29 @@
 		t.Errorf("got verdict %d for %s, want the packet dropped until the lifetime is known", d.Verdict, d.Cause)
 	}
 }
+
+// Two instances ask for a flow at the same time, the second for a packet that follows a late
+// answer. Guards against two endpoints for the flow, against following what is only assumed
+// without asking, and against taking it for more than what an instance has seen.
+func TestFirstQuestionDecidesWhatIsAssumed(t *testing.T) {
+	f := newFleet(2, 4)
+	open, late := sendToTwo(t, f.routers[0])
+	r := f.routers[1]
+	handshake := steer.OpenFlow{Key: key(1, feed), Token: open.Token, Sequence: 1001, Acknowledged: 500}
+	r.RecordAssumed(&handshake, start)
+	data := handshake
+	data.Token = late.Token
+	r.RecordAssumed(&data, start)
+	if found, ok := r.FindOpen(&data, start); !ok || !found.Assumed || found.Token != open.Token {
+		t.Errorf("got %+v, %t, want the token of the first question, assumed", found, ok)
+	}
+	if d := r.Decide(mayAsk(request(1, feed, late.Token)), start); d.Verdict != carawaycart.VerdictAsk {
+		t.Errorf("got verdict %d, want others asked", d.Verdict)
+	}
+	if n := len(r.ContestedFlows(start)); n != 0 {
+		t.Errorf("got %d flows to hand over, want none that was seen open", n)
+	}
+	seen := steer.OpenFlow{Key: key(1, feed), Token: f.lifetimeToken(late.Endpoint), Sequence: 1001, Acknowledged: 500}
+	r.RecordOpen(&seen, start)
+	f.checkStays(t, r.Decide(mayAsk(request(1, feed, open.Token)), start), late)
+}
--- a/internal/edge/contested_test.go
+++ b/internal/edge/contested_test.go
@@ -20,6 +20,16 @@
 	return f
 }
 
+// checkNoFlowFailed reports violations, and open flows that were reset or left a request without
+// an answer. New flows may be refused, as the endpoints that answer late seem to be overloaded.
+func (f *fleet) checkNoFlowFailed(t *testing.T) {
+	t.Helper()
+	f.checkLedger(t)
+	if l := f.Ledger; l.FlowsReset > 0 || l.FlowsFailed > 0 || l.Answered == 0 {
+		t.Errorf("got %s, want no open flow reset or left without an answer", l.Summary())
+	}
+}
+
 // Instances stop as planned one after the other, so that their flows move. Guards against
 // sending the flows to the endpoint that has answered late, which resets them: no instance has
 // seen them open but the one that has stopped, and later those that it has told have too.
@@ -36,7 +46,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
-	f.checkNoStrays(t)
+	f.checkNoFlowFailed(t)
 }
 
 // Like TestContestedFlowsOutlastPlannedStops, but the instances are killed.
@@ -51,7 +61,7 @@
 		f.Routers.SetExcluded(i.machine.InstanceID, false)
 		f.await(t, "all instances are in rotation", func() bool { return f.Routers.ReadyCount() == len(f.instances) })
 	}
-	f.checkNoStrays(t)
+	f.checkNoFlowFailed(t)
 }
 
 // A handshake comes to an instance that has not received the first packet, and the late answer
@@ -76,5 +86,5 @@
 	}
 	f.awaitRequests(t, 10)
 	stop()
-	f.checkNoStrays(t)
+	f.checkNoFlowFailed(t)
 }
--- a/internal/edge/disseminator.go
+++ b/internal/edge/disseminator.go
@@ -61,7 +61,10 @@
 	flows     flowNotices
 	asker     atomic.Pointer[flowAsker] // receives the answers of peers
 	startedAt time.Time
-	done      sync.WaitGroup
+	// firstStart tells whether the whole fleet has started with this instance, which has
+	// therefore missed no open flow.
+	firstStart atomic.Bool
+	done       sync.WaitGroup
 
 	mu       sync.Mutex
 	fetching bool      // a snapshot is being fetched by startFetch
--- a/internal/edge/flowasker.go
+++ b/internal/edge/flowasker.go
@@ -23,7 +23,7 @@
 	maxPacketsPerQuestion = 32
 
 	askTimeout = 100 * time.Millisecond // time after which a question is asked again
-	maxAsks    = 3                      // number of times that a question is asked
+	maxAsks    = 10                     // number of times that a question is asked
 	// enoughUnknowing is the number of instances that have run for as long as flows last and do
 	// not know a flow, from which nobody does: each flow is told to flowHolders of those asked.
 	enoughUnknowing = 2
@@ -58,6 +58,7 @@
 	dueAt     time.Time                                           // when to ask again, or to give up
 	open      map[carawaycart.InstanceID]carawaycart.Registration // instances that have not answered
 	unknowing int                                                 // instances that would know the flow, and do not
+	assumed   carawaycart.Token                                   // of the packet for which another instance has asked first; zero if none has
 }
 
 // newFlowAsker returns an asker that sends retained packets on conn, as t translates them, until
@@ -133,7 +134,7 @@
 	for _, r := range q.open {
 		to = append(to, r)
 	}
-	o := steer.OpenFlow{Key: q.packet.Key, Sequence: q.packet.Sequence, Acknowledged: q.packet.Acknowledged}
+	o := steer.OpenFlow{Key: q.packet.Key, Token: q.packet.Token, Sequence: q.packet.Sequence, Acknowledged: q.packet.Acknowledged}
 	a.disseminator.send(&message.DirectoryNews{From: string(a.disseminator.self), Asked: []*message.FlowNotice{newFlowNotice(&o)}}, to)
 }
 
@@ -185,16 +186,20 @@
 		return
 	}
 	delete(q.open, from)
-	if o.Token == 0 && !recent {
-		q.unknowing++
-	}
-	if o.Token == 0 && len(q.open) > 0 && q.unknowing < enoughUnknowing {
-		a.mu.Unlock()
-		return
+	unknown := o.Token == 0 || o.Assumed
+	if unknown {
+		q.unknowing += int(boolToInt(!recent))
+		if q.assumed == 0 {
+			q.assumed = o.Token
+		}
+		if len(q.open) > 0 && q.unknowing < enoughUnknowing {
+			a.mu.Unlock()
+			return
+		}
 	}
 	delete(a.questions, o.Key)
 	a.mu.Unlock()
-	if o.Token == 0 {
+	if unknown {
 		a.assume(q, "unknown")
 		return
 	}
@@ -202,9 +207,14 @@
 	a.send(q, "known")
 }
 
-// assume lets the flow of q be open where its token says, and sends its packets there.
+// assume lets the flow of q be open where the token says of the first packet for which an
+// instance has asked, and sends its packets there.
 func (a *flowAsker) assume(q *flowQuestion, outcome string) {
-	a.router.AssumeOpen(&q.packet, a.clock.Now())
+	p := q.packet
+	if q.assumed != 0 {
+		p.Token = q.assumed
+	}
+	a.router.AssumeOpen(&p, a.clock.Now())
 	a.send(q, outcome)
 }
 
@@ -230,11 +240,15 @@
 // answerFlows answers the questions in update to the peer at from.
 func (d *Disseminator) answerFlows(update *message.DirectoryNews, from netip.AddrPort) {
 	now := d.clock.Now()
-	reply := &message.DirectoryNews{From: string(d.self), Recent: now.Sub(d.startedAt) < steer.MaxFlowAge}
+	recent := !d.firstStart.Load() && now.Sub(d.startedAt) < steer.MaxFlowAge
+	reply := &message.DirectoryNews{From: string(d.self), Recent: recent}
 	for _, n := range update.GetAsked() {
 		o := toOpenFlow(n)
 		if found, ok := d.router.FindOpen(&o, now); ok {
 			o = found
+		} else {
+			d.router.RecordAssumed(&o, now)
+			o.Token = 0
 		}
 		reply.Answered = append(reply.Answered, newFlowNotice(&o))
 	}
--- a/internal/edge/flownotices.go
+++ b/internal/edge/flownotices.go
@@ -148,7 +148,7 @@
 func toOpenFlow(n *message.FlowNotice) steer.OpenFlow {
 	return steer.OpenFlow{
 		Key:   carawaycart.FlowKey{Caller: unpackAddress(n.GetCaller()), Service: unpackAddress(n.GetService()), Protocol: carawaycart.TCP},
-		Token: carawaycart.Token(n.GetToken()), Sequence: n.GetSequence(), Acknowledged: n.GetAcknowledged(),
+		Token: carawaycart.Token(n.GetToken()), Sequence: n.GetSequence(), Acknowledged: n.GetAcknowledged(), Assumed: n.GetAssumed(),
 	}
 }
 
@@ -156,6 +156,7 @@
 func newFlowNotice(o *steer.OpenFlow) *message.FlowNotice {
 	return &message.FlowNotice{
 		Caller: packAddress(o.Key.Caller), Service: packAddress(o.Key.Service), Token: uint32(o.Token), Sequence: o.Sequence, Acknowledged: o.Acknowledged,
+		Assumed: o.Assumed,
 	}
 }
 
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -87,6 +87,7 @@
 	own := carawaycart.Registration{ID: s.ID, Zone: s.Zone, PeerAddress: sockets.Updates.LocalAddr().(*net.UDPAddr).AddrPort()}
 	e.registrar = NewRegistrar(own, e.store, e.view, clock, log)
 	e.disseminator = NewDisseminator(s.ID, s.Zone, e.view, e.router, sockets.Updates, e.client, e.registrar, clock, log)
+	e.disseminator.firstStart.Store(s.FirstStart)
 	routerObserver.disseminator = e.disseminator
 	e.prober.loading = func() bool {
 		r := e.loading.Load()
