--- a/internal/edge/contested_test.go
+++ b/internal/edge/contested_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -8,16 +9,16 @@
 )
 
 // openContested opens flows whose first packets go to two endpoints, one of which answers late
-// and again, to callers that send the token of the last answer.
-func openContested(t *testing.T, zones int) *fleet {
+// and again, to callers that send the token of the last answer. The function stop ends the flows.
+func openContested(t *testing.T, zones int) (f *fleet, stop func()) {
 	t.Helper()
-	f := newFleet(t, zones, 3, 2)
+	f = newFleet(t, zones, 3, 2)
 	f.await(t, "all instances are listed", func() bool { return f.listed(t) == len(f.instances) })
 	f.KeepLastEcho()
 	f.Endpoints[0].SetAnswerDelay(120 * time.Millisecond)
-	f.feedsWithBudget(t, 40, 450*time.Millisecond)
+	stop = f.feedsWithBudget(t, 40, 450*time.Millisecond)
 	f.awaitRequests(t, 80)
-	return f
+	return f, stop
 }
 
 // checkNoFlowFailed reports violations, and open flows that were reset or left a request without
@@ -35,7 +36,7 @@
 // seen them open but the one that has stopped, and later those that it has told have too.
 func TestContestedFlowsOutlastPlannedStops(t *testing.T) {
 	t.Parallel()
-	f := openContested(t, 2)
+	f, stop := openContested(t, 2)
 	for range 2 {
 		for _, i := range f.instances {
 			i.running.Stop()
@@ -46,13 +47,14 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
+	stop()
 	f.checkNoFlowFailed(t)
 }
 
 // Like TestContestedFlowsOutlastPlannedStops, but the instances are killed.
 func TestContestedFlowsOutlastKills(t *testing.T) {
 	t.Parallel()
-	f := openContested(t, 2)
+	f, stop := openContested(t, 2)
 	for _, i := range f.instances {
 		f.Routers.SetExcluded(i.machine.InstanceID, true)
 		f.kill(i)
@@ -61,6 +63,7 @@
 		f.Routers.SetExcluded(i.machine.InstanceID, false)
 		f.await(t, "all instances are in rotation", func() bool { return f.Routers.ReadyCount() == len(f.instances) })
 	}
+	stop()
 	f.checkNoFlowFailed(t)
 }
 
@@ -77,14 +80,16 @@
 		e.SetAnswerDelay(time.Duration(60+60*n) * time.Millisecond)
 	}
 	stop := f.feedsWithBudget(t, 30, 70*time.Millisecond)
+	var orders sync.WaitGroup
 	for n := range 30 {
 		f.Routers.SetExcluded(f.instances[n%3].machine.InstanceID, true)
 		time.Sleep(50 * time.Millisecond)
 		f.Routers.SetExcluded(f.instances[n%3].machine.InstanceID, false)
 		time.Sleep(50 * time.Millisecond)
-		go f.Callers[0].SendKeyed(standin.KeyedAddress, 5*time.Millisecond, 4*time.Second)
+		orders.Go(func() { f.Callers[0].SendKeyed(standin.KeyedAddress, 5*time.Millisecond, 4*time.Second) })
 	}
 	f.awaitRequests(t, 10)
+	orders.Wait()
 	stop()
 	f.checkNoFlowFailed(t)
 }
