--- a/internal/edge/flowasker.go
+++ b/internal/edge/flowasker.go
@@ -24,8 +24,8 @@
 
 	askTimeout = 100 * time.Millisecond // time after which a question is asked again
 	maxAsks    = 10                     // number of times that a question is asked
-	// enoughUnknowing is the number of instances that have run for as long as flows last and do
-	// not know a flow, from which nobody does: each flow is told to flowHolders of those asked.
+	// enoughUnknowing is the number of answers of instances that cannot have missed a flow and do
+	// not know it after which nobody does: of those asked, each flow is told to flowHolders.
 	enoughUnknowing = 2
 )
 
@@ -56,7 +56,7 @@
 	askedAt   time.Time
 	asks      int
 	dueAt     time.Time                                           // when to ask again, or to give up
-	open      map[carawaycart.InstanceID]carawaycart.Registration // instances that have not answered
+	pending   map[carawaycart.InstanceID]carawaycart.Registration // instances that have not answered
 	unknowing int                                                 // instances that would know the flow, and do not
 	assumed   carawaycart.Token                                   // of the packet for which another instance has asked first; zero if none has
 }
@@ -110,9 +110,9 @@
 	if len(holders) == 0 {
 		return false
 	}
-	q := &flowQuestion{packet: *p, retained: [][]byte{slices.Clone(b)}, askedAt: now, open: make(map[carawaycart.InstanceID]carawaycart.Registration)}
+	q := &flowQuestion{packet: *p, retained: [][]byte{slices.Clone(b)}, askedAt: now, pending: make(map[carawaycart.InstanceID]carawaycart.Registration)}
 	for _, r := range holders {
-		q.open[r.ID] = r
+		q.pending[r.ID] = r
 	}
 	a.questions[p.Key] = q
 	a.counters.FlowsAsked.Inc(1)
@@ -130,8 +130,8 @@
 func (a *flowAsker) ask(q *flowQuestion, now time.Time) {
 	q.asks++
 	q.dueAt = now.Add(askTimeout)
-	to := make([]carawaycart.Registration, 0, len(q.open))
-	for _, r := range q.open {
+	to := make([]carawaycart.Registration, 0, len(q.pending))
+	for _, r := range q.pending {
 		to = append(to, r)
 	}
 	o := steer.OpenFlow{Key: q.packet.Key, Token: q.packet.Token, Sequence: q.packet.Sequence, Acknowledged: q.packet.Acknowledged}
@@ -142,13 +142,13 @@
 // the next one is due, or false if there is none.
 func (a *flowAsker) handleDue() (wait time.Duration, waiting bool) {
 	now := a.clock.Now()
-	var given []*flowQuestion
+	var expired []*flowQuestion
 	a.mu.Lock()
 	for key, q := range a.questions {
 		if !now.Before(q.dueAt) {
 			if q.asks >= maxAsks || q.unknowing > 0 {
 				delete(a.questions, key)
-				given = append(given, q)
+				expired = append(expired, q)
 				continue
 			}
 			a.ask(q, now)
@@ -158,7 +158,7 @@
 		}
 	}
 	a.mu.Unlock()
-	for _, q := range given {
+	for _, q := range expired {
 		a.assume(q, "unanswered")
 	}
 	return wait, waiting
@@ -181,18 +181,18 @@
 		a.mu.Unlock()
 		return
 	}
-	if _, ok := q.open[from]; !ok {
+	if _, ok := q.pending[from]; !ok {
 		a.mu.Unlock()
 		return
 	}
-	delete(q.open, from)
+	delete(q.pending, from)
 	unknown := o.Token == 0 || o.Assumed
 	if unknown {
 		q.unknowing += int(boolToInt(!recent))
 		if q.assumed == 0 {
 			q.assumed = o.Token
 		}
-		if len(q.open) > 0 && q.unknowing < enoughUnknowing {
+		if len(q.pending) > 0 && q.unknowing < enoughUnknowing {
 			a.mu.Unlock()
 			return
 		}
@@ -227,7 +227,7 @@
 			a.write(q, data, to)
 		}
 	}
-	a.log.Event("flowAsked").Flow(&q.packet.Key).Int("token", int64(q.packet.Token)).Text("outcome", outcome).Int("unanswered", int64(len(q.open))).
+	a.log.Event("flowAsked").Flow(&q.packet.Key).Int("token", int64(q.packet.Token)).Text("outcome", outcome).Int("unanswered", int64(len(q.pending))).
 		Int("packets", int64(len(q.retained))).Millis("waitedMs", a.clock.Now().Sub(q.askedAt)).End()
 }
 
